--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+GO ?= go
+TOOLS := $(CURDIR)/bin/tools
+
+.PHONY: build test race generate lint quickstart tools
+
+build:
+	$(GO) build -o bin/peridotstage .
+	$(GO) build -o bin/standin ./internal/fake/standin
+
+test:
+	$(GO) test -race -timeout 20m ./...
+
+tools:
+	cd tools && GOBIN="$(TOOLS)" $(GO) install tool
+
+generate: tools
+	PATH="$(TOOLS):$$PATH" protoc --proto_path=internal/wire/messenger \
+		--go_out=internal/wire/messenger --go_opt=paths=source_relative \
+		--go-drpc_out=internal/wire/messenger --go-drpc_opt=paths=source_relative \
+		internal/wire/messenger/messenger.proto
+
+lint:
+	.ci/run
+
+quickstart: build
+	./examples/quickstart.sh
