--- /dev/null
+++ b/internal/control/subscriber/subscriber.go
@@ -0,0 +1,112 @@
+// Package subscriber is the node side of distribution: it applies the updates that control sends and holds the lease
+// that lets the node act on them.
+package subscriber
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// LeaseTime is how long a node may act on a confirmed revision. It is below the 3 s in which a withdrawal must be in force
+// and above the time of a leader failover.
+const LeaseTime = 2500 * time.Millisecond
+
+// ErrBehind means that a reply did not bring the node to the revision it names.
+var ErrBehind = eris.New("reply does not reach its revision")
+
+// Reply is the answer of a control instance to a heartbeat.
+type Reply struct {
+	Revision registrar.Revision
+	// Age is how old the instance's knowledge of Revision was when it replied.
+	Age time.Duration
+	// Granted is false if the instance cannot vouch for Revision.
+	Granted bool
+	// Updates lead from the revision of the heartbeat to Revision. They are empty if State is set.
+	Updates []registrar.Update
+	State   *registrar.State
+}
+
+// Enforcer puts a configuration into force on the node.
+type Enforcer interface {
+	Update(w *registrar.World)
+}
+
+// Subscriber holds the configuration and the lease of one node. The exported fields are set before first use.
+type Subscriber struct {
+	World     *registrar.World
+	Enforcers []Enforcer
+	// ServeExpired lets the node act without a lease once it has had one.
+	ServeExpired bool
+
+	// mu orders replies.
+	mu sync.Mutex
+	// expireAt is when the lease ends; nil before the first grant.
+	expireAt atomic.Pointer[time.Time]
+}
+
+// Accept applies a reply to the heartbeat that was sent at sentAt. The lease is extended only after the revision of the
+// reply is in force, and runs from sentAt, because control may have confirmed a newer revision at any time after it.
+func (s *Subscriber) Accept(sentAt time.Time, r Reply) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.World.Revision()
+	if err := s.apply(r); err != nil {
+		return err
+	}
+	if s.World.Revision() != before {
+		for _, e := range s.Enforcers {
+			e.Update(s.World)
+		}
+	}
+	if !r.Granted {
+		return nil
+	}
+	if s.World.Revision() < r.Revision {
+		return eris.Wrapf(ErrBehind, "have %d, reply names %d", s.World.Revision(), r.Revision)
+	}
+	s.extend(sentAt.Add(LeaseTime - r.Age))
+	return nil
+}
+
+func (s *Subscriber) apply(r Reply) error {
+	if r.State != nil && r.State.Revision > s.World.Revision() {
+		return s.World.Restore(*r.State)
+	}
+	for _, u := range r.Updates {
+		if u.Revision <= s.World.Revision() {
+			continue
+		}
+		if err := s.World.Apply(u); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Subscriber) extend(until time.Time) {
+	if old := s.expireAt.Load(); old == nil || until.After(*old) {
+		s.expireAt.Store(&until)
+	}
+}
+
+// Valid reports whether the node may act on its configuration.
+func (s *Subscriber) Valid(now time.Time) bool {
+	until := s.expireAt.Load()
+	if until == nil {
+		return false
+	}
+	return s.ServeExpired || now.Before(*until)
+}
+
+// ExpireAt returns when the lease ends; the zero time before the first grant.
+func (s *Subscriber) ExpireAt() time.Time {
+	if until := s.expireAt.Load(); until != nil {
+		return *until
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/internal/report/recorder/recorder.go
@@ -0,0 +1,62 @@
+// Package recorder writes structured logs with numbered events. docs/events.md lists the events.
+package recorder
+
+import (
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+// Event is a numbered kind of log entry. Numbers are never reused.
+type Event struct {
+	Number  int
+	Message string
+}
+
+// The events.
+var (
+	MachineStarted   = Event{1001, "machine started"}
+	MachineStopped   = Event{1002, "machine stopped"}
+	MachineFailed    = Event{1003, "machine failed"}
+	HeartbeatFailed  = Event{2001, "heartbeat failed"}
+	RevisionEnforced = Event{2002, "revision enforced"}
+	AnnounceRefused  = Event{2003, "announcement refused"}
+	ListenFailed     = Event{3001, "cannot listen on service address"}
+	ProposalFailed   = Event{4001, "proposal failed"}
+	RequestServed    = Event{5001, "intent API request served"}
+)
+
+// Recorder writes events.
+type Recorder struct {
+	log *zap.Logger
+}
+
+// New returns a recorder that writes JSON lines to standard error.
+func New() (*Recorder, error) {
+	cfg := zap.NewProductionConfig()
+	cfg.Sampling = nil
+	cfg.DisableStacktrace = true
+	cfg.DisableCaller = true
+	log, err := cfg.Build()
+	return &Recorder{log: log}, eris.Wrap(err, "build logger")
+}
+
+// Discard returns a recorder that writes nothing.
+func Discard() *Recorder { return &Recorder{log: zap.NewNop()} }
+
+// Info writes an event of normal operation.
+func (r *Recorder) Info(e Event, fields ...zap.Field) {
+	r.log.Info(e.Message, append(fields, zap.Int("event", e.Number))...)
+}
+
+// Warn writes an event that an operator may want to look into.
+func (r *Recorder) Warn(e Event, fields ...zap.Field) {
+	r.log.Warn(e.Message, append(fields, zap.Int("event", e.Number))...)
+}
+
+// Error writes an event that needs an operator.
+func (r *Recorder) Error(e Event, fields ...zap.Field) {
+	r.log.Error(e.Message, append(fields, zap.Int("event", e.Number))...)
+}
+
+// Err is the field for an error.
+func Err(err error) zap.Field { return zap.Error(err) }
--- /dev/null
+++ b/internal/route/balancer/balancer.go
@@ -0,0 +1,176 @@
+// Package balancer maps flows to upstreams. Each machine computes the same table from the same configuration revision.
+package balancer
+
+import (
+	"encoding/binary"
+	"math"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// Bucket is an index into the table of a service.
+type Bucket uint16
+
+// BucketCount is the number of buckets of a service. With 32 equal members it keeps the largest share of buckets within
+// about a quarter of the mean.
+const BucketCount = 4096
+
+// MaxHops bounds how often a datagram is passed from agent to agent.
+const MaxHops = 8
+
+// Choice holds the upstreams that take the new flows of a bucket.
+type Choice struct {
+	// Owner is zero if the generation has no members.
+	Owner registrar.UpstreamID
+	// Second takes a flow that Owner cannot take. It is zero if the generation has one member.
+	Second registrar.UpstreamID
+}
+
+// Table maps the buckets of one generation to upstreams. It is immutable.
+type Table struct {
+	Revision registrar.Revision
+	choices  [BucketCount]Choice
+}
+
+// NewTable computes the table of a generation by weighted rendezvous hashing: a change of one member's weight moves
+// buckets only to or from that member (Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", SPAA 2005).
+func NewTable(service registrar.ServiceID, g registrar.Generation) *Table {
+	t := &Table{Revision: g.Revision}
+	for b := range t.choices {
+		t.choices[b] = choose(service, Bucket(b), g.Members)
+	}
+	return t
+}
+
+func choose(service registrar.ServiceID, b Bucket, members []registrar.Member) Choice {
+	var c Choice
+	first, second := math.Inf(-1), math.Inf(-1)
+	for _, m := range members {
+		switch s := score(service, b, m); {
+		case s > first:
+			c.Second, second = c.Owner, first
+			c.Owner, first = m.Upstream, s
+		case s > second:
+			c.Second, second = m.Upstream, s
+		}
+	}
+	return c
+}
+
+func score(service registrar.ServiceID, b Bucket, m registrar.Member) float64 {
+	var key [10]byte
+	binary.LittleEndian.PutUint32(key[0:], uint32(service))
+	binary.LittleEndian.PutUint16(key[4:], uint16(b))
+	binary.LittleEndian.PutUint32(key[6:], uint32(m.Upstream))
+	// The hash is mapped to the open interval (0, 1), where the logarithm is finite and negative.
+	u := (float64(xxhash.Sum64(key[:])>>11) + 0.5) / (1 << 53)
+	return float64(m.Weight) / -math.Log(u)
+}
+
+// Choice returns the upstreams for new flows of a bucket.
+func (t *Table) Choice(b Bucket) Choice { return t.choices[b] }
+
+// BucketOf returns the bucket of a flow.
+func BucketOf(f registrar.Flow) Bucket {
+	var key [36]byte
+	putAddrPort(key[0:], f.Caller)
+	putAddrPort(key[18:], f.Service)
+	return Bucket(xxhash.Sum64(key[:]) % BucketCount)
+}
+
+func putAddrPort(b []byte, a netip.AddrPort) {
+	ip := a.Addr().As16()
+	copy(b, ip[:])
+	binary.LittleEndian.PutUint16(b[16:], a.Port())
+}
+
+// Chain lists the upstreams that may hold a flow of a bucket, in the order in which they are asked. It is a fixed-size
+// value so that looking one up does not allocate.
+type Chain struct {
+	ids [MaxHops]registrar.UpstreamID
+	n   int
+}
+
+// Len returns the number of upstreams in the chain.
+func (c *Chain) Len() int { return c.n }
+
+// At returns the upstream at position i.
+func (c *Chain) At(i int) registrar.UpstreamID { return c.ids[i] }
+
+// Index returns the position of an upstream, or -1.
+func (c *Chain) Index(id registrar.UpstreamID) int {
+	for i := range c.n {
+		if c.ids[i] == id {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *Chain) add(id registrar.UpstreamID) {
+	if id == 0 || c.n == MaxHops || c.Index(id) >= 0 {
+		return
+	}
+	c.ids[c.n] = id
+	c.n++
+}
+
+// Balancer holds the tables of one service at one revision. It is immutable.
+type Balancer struct {
+	service registrar.ServiceID
+	// tables are ordered newest first; there is at least one.
+	tables []*Table
+	// reachable holds the upstreams outside withdrawn zones.
+	reachable map[registrar.UpstreamID]bool
+}
+
+// New computes the tables for a service. Tables of generations that previous already holds are reused; previous may be
+// nil.
+func New(v registrar.ServiceView, previous *Balancer) *Balancer {
+	b := &Balancer{service: v.ID, reachable: map[registrar.UpstreamID]bool{}}
+	for _, u := range v.Upstreams {
+		b.reachable[u.ID] = !u.ZoneWithdrawn
+	}
+	for i := len(v.Generations) - 1; i >= 0; i-- {
+		g := v.Generations[i]
+		t := previous.table(v.ID, g.Revision)
+		if t == nil {
+			t = NewTable(v.ID, g)
+		}
+		b.tables = append(b.tables, t)
+	}
+	if len(b.tables) == 0 {
+		b.tables = []*Table{{}}
+	}
+	return b
+}
+
+func (b *Balancer) table(service registrar.ServiceID, at registrar.Revision) *Table {
+	if b == nil || b.service != service {
+		return nil
+	}
+	for _, t := range b.tables {
+		if t.Revision == at {
+			return t
+		}
+	}
+	return nil
+}
+
+// Newest returns the table for new flows.
+func (b *Balancer) Newest() *Table { return b.tables[0] }
+
+// Chain returns the owner of a bucket followed by its earlier owners that may still hold flows. Upstreams in withdrawn
+// zones are left out.
+func (b *Balancer) Chain(bucket Bucket) Chain {
+	var c Chain
+	for _, t := range b.tables {
+		if id := t.choices[bucket].Owner; b.reachable[id] {
+			c.add(id)
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/route/carrier/carrier.go
@@ -0,0 +1,90 @@
+// Package carrier defines the typed header of datagrams that entries and agents exchange.
+package carrier
+
+import (
+	"net/netip"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// Kind says which way a datagram travels.
+type Kind byte
+
+// The kinds of datagram.
+const (
+	// Forward carries a caller's datagram from an entry, or on from an agent, to an agent.
+	Forward Kind = 1
+	// Answer carries an upstream's datagram from an agent to an entry.
+	Answer Kind = 2
+)
+
+// Flags modify a forwarded datagram.
+type Flags byte
+
+// The flags of a datagram.
+const (
+	// Unclaimed says that no agent of the chain holds the flow, so the target may admit it.
+	Unclaimed Flags = 1 << iota
+	// Redirected says that the bucket's owner could not take the flow.
+	Redirected
+	// Direct says that the connection id named the target.
+	Direct
+)
+
+// Header describes a datagram between machines.
+type Header struct {
+	Kind Kind
+	// Hops counts how often the datagram has been passed from agent to agent.
+	Hops  uint8
+	Flags Flags
+	// Service and Target are checked by the receiver against its own configuration.
+	Service registrar.ServiceID
+	Target  registrar.UpstreamID
+	// Revision is the configuration revision of the sender.
+	Revision registrar.Revision
+	Flow     registrar.Flow
+	// Entry is the data address of the entry that took the datagram from the caller.
+	Entry netip.AddrPort
+}
+
+// Has reports whether all given flags are set.
+func (h *Header) Has(f Flags) bool { return h.Flags&f == f }
+
+// DropReason says why a datagram was not passed.
+type DropReason uint8
+
+// The reasons for a drop. Passed means that there was none.
+const (
+	Passed DropReason = iota
+	DropUnknownService
+	DropNoLease
+	DropNoContract
+	DropCut
+	DropMalformed
+	DropNoUpstream
+	DropWrongService
+	DropWrongTarget
+	DropZoneWithdrawn
+	DropUnknownFlow
+	DropHopLimit
+	DropRefused
+	DropBadSeal
+	DropQueueFull
+	dropReasonCount
+)
+
+// DropReasonCount is the number of drop reasons, Passed included.
+const DropReasonCount = int(dropReasonCount)
+
+var dropNames = [DropReasonCount]string{
+	"passed", "unknown_service", "no_lease", "no_contract", "cut", "malformed", "no_upstream", "wrong_service",
+	"wrong_target", "zone_withdrawn", "unknown_flow", "hop_limit", "refused", "bad_seal", "queue_full",
+}
+
+// String returns the snake-case name of the reason.
+func (d DropReason) String() string {
+	if int(d) < len(dropNames) {
+		return dropNames[d]
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/route/forwarder/forwarder.go
@@ -0,0 +1,222 @@
+// Package forwarder decides, at an entry, where each datagram goes. It keeps no state about flows.
+package forwarder
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peridotstage/peridotstage/internal/route/balancer"
+	"github.com/peridotstage/peridotstage/internal/route/carrier"
+	"github.com/peridotstage/peridotstage/internal/route/counter"
+	"github.com/peridotstage/peridotstage/internal/route/resolver"
+	"github.com/peridotstage/peridotstage/internal/route/stamper"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// Lease tells whether the machine may act on the configuration that it holds.
+type Lease interface {
+	Valid(now time.Time) bool
+}
+
+const shardCount = 16
+
+type shard struct {
+	mu sync.RWMutex
+	// routes are keyed by service address.
+	routes map[netip.AddrPort]*entryRoute
+}
+
+// entryRoute is a route with the counts of the customers it names.
+type entryRoute struct {
+	*resolver.Route
+	customers map[registrar.CustomerName]*counter.Customer
+}
+
+// Forwarder routes the datagrams of one entry. The exported fields are set before first use.
+type Forwarder struct {
+	Stamper *stamper.Stamper
+	Lease   Lease
+	Counter *counter.Counter
+	// Entry is the data address that agents answer to.
+	Entry netip.AddrPort
+
+	shards   [shardCount]shard
+	revision atomic.Uint64
+}
+
+func (f *Forwarder) shard(a netip.AddrPort) *shard {
+	ip := a.Addr().As16()
+	return &f.shards[(binary.LittleEndian.Uint32(ip[12:])*31+uint32(a.Port()))%shardCount]
+}
+
+// Revision returns the newest revision that all routes enforce.
+func (f *Forwarder) Revision() registrar.Revision { return registrar.Revision(f.revision.Load()) }
+
+// Update replaces all routes by those of the configuration.
+func (f *Forwarder) Update(w *registrar.World) {
+	at := w.Revision()
+	live := map[netip.AddrPort]bool{}
+	for _, s := range w.Services() {
+		if v, ok := w.View(s.Name); ok {
+			live[s.Address] = true
+			f.replace(v, at)
+		}
+	}
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mu.Lock()
+		for a := range s.routes {
+			if !live[a] {
+				delete(s.routes, a)
+			}
+		}
+		s.mu.Unlock()
+	}
+	f.revision.Store(uint64(at))
+}
+
+func (f *Forwarder) replace(v registrar.ServiceView, at registrar.Revision) {
+	s := f.shard(v.Address)
+	s.mu.RLock()
+	old := s.routes[v.Address]
+	s.mu.RUnlock()
+	next := &entryRoute{customers: map[registrar.CustomerName]*counter.Customer{}}
+	if old != nil {
+		next.Route = resolver.New(v, at, old.Route)
+	} else {
+		next.Route = resolver.New(v, at, nil)
+	}
+	for _, c := range v.Contracts {
+		next.customers[c.Customer] = f.Counter.Customer(c.Customer)
+	}
+	// The lock excludes datagrams in progress, so that every pass is counted before or after the cut.
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.routes == nil {
+		s.routes = map[netip.AddrPort]*entryRoute{}
+	}
+	s.routes[v.Address] = next
+	next.CutCustomers(func(name registrar.CustomerName, at registrar.Revision) {
+		next.customers[name].EnforceCut(at)
+	})
+}
+
+// FromCaller decides about a datagram that a caller sent to a service address. It fills h and returns the data address of
+// the agent to send it to, unless the datagram is dropped. It does not allocate.
+func (f *Forwarder) FromCaller(now time.Time, flow registrar.Flow, payload []byte, h *carrier.Header) (netip.AddrPort, carrier.DropReason) {
+	to, reason := f.fromCaller(now, flow, payload, h)
+	if reason != carrier.Passed {
+		f.Counter.Drop(reason)
+	}
+	return to, reason
+}
+
+func (f *Forwarder) fromCaller(now time.Time, flow registrar.Flow, payload []byte, h *carrier.Header) (netip.AddrPort, carrier.DropReason) {
+	var none netip.AddrPort
+	if !f.Lease.Valid(now) {
+		return none, carrier.DropNoLease
+	}
+	s := f.shard(flow.Service)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	r := s.routes[flow.Service]
+	if r == nil {
+		return none, carrier.DropUnknownService
+	}
+	name, cut, ok := r.Customer(flow.Caller.Addr())
+	if !ok {
+		return none, carrier.DropNoContract
+	}
+	customer := r.customers[name]
+	if cut {
+		customer.Drop()
+		return none, carrier.DropCut
+	}
+	target, flags, reason := f.target(r, flow, payload)
+	if reason != carrier.Passed {
+		customer.Drop()
+		return none, reason
+	}
+	u, ok := r.Upstream(target)
+	switch {
+	case !ok:
+		reason = carrier.DropWrongService
+	case u.ZoneWithdrawn:
+		reason = carrier.DropZoneWithdrawn
+	case !u.DataAddress.IsValid():
+		reason = carrier.DropNoUpstream
+	}
+	if reason != carrier.Passed {
+		customer.Drop()
+		return none, reason
+	}
+	customer.Pass(now)
+	*h = carrier.Header{
+		Kind: carrier.Forward, Flags: flags, Service: r.Service.ID, Target: target, Revision: r.Revision, Flow: flow,
+		Entry: f.Entry,
+	}
+	return u.DataAddress, carrier.Passed
+}
+
+// target picks the upstream of a datagram: the one that its connection id names, or else the owner of its bucket.
+func (f *Forwarder) target(r *entryRoute, flow registrar.Flow, payload []byte) (registrar.UpstreamID, carrier.Flags, carrier.DropReason) {
+	if r.Service.Transport == registrar.TransportQUIC {
+		kind, id := stamper.Parse(payload)
+		if kind == stamper.Malformed {
+			return 0, 0, carrier.DropMalformed
+		}
+		if u, ok := f.Stamper.Verify(id); ok {
+			return u, carrier.Direct, carrier.Passed
+		}
+	}
+	chain := r.Chain(balancer.BucketOf(flow))
+	if chain.Len() == 0 {
+		return 0, 0, carrier.DropNoUpstream
+	}
+	return chain.At(0), 0, carrier.Passed
+}
+
+// FromAgent decides about an answer. The answer may leave for the caller only from the address of the service that the
+// agent belongs to.
+func (f *Forwarder) FromAgent(now time.Time, h *carrier.Header) carrier.DropReason {
+	reason := f.fromAgent(now, h)
+	if reason != carrier.Passed {
+		f.Counter.Drop(reason)
+	}
+	return reason
+}
+
+func (f *Forwarder) fromAgent(now time.Time, h *carrier.Header) carrier.DropReason {
+	if h.Kind != carrier.Answer {
+		return carrier.DropMalformed
+	}
+	if !f.Lease.Valid(now) {
+		return carrier.DropNoLease
+	}
+	s := f.shard(h.Flow.Service)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	r := s.routes[h.Flow.Service]
+	if r == nil {
+		return carrier.DropUnknownService
+	}
+	if r.Service.ID != h.Service {
+		return carrier.DropWrongService
+	}
+	if u, ok := r.Upstream(h.Target); !ok {
+		return carrier.DropWrongService
+	} else if u.ZoneWithdrawn {
+		return carrier.DropZoneWithdrawn
+	}
+	switch name, cut, ok := r.Customer(h.Flow.Caller.Addr()); {
+	case !ok:
+		return carrier.DropNoContract
+	case cut:
+		r.customers[name].Drop()
+		return carrier.DropCut
+	}
+	return carrier.Passed
+}
--- /dev/null
+++ b/internal/route/stamper/packet.go
@@ -0,0 +1,51 @@
+package stamper
+
+// Kind classifies a QUIC datagram by its first packet (RFC 9000 section 17).
+type Kind int
+
+// The kinds of QUIC datagram.
+const (
+	// Malformed datagrams are not QUIC or are cut short.
+	Malformed Kind = iota
+	// Initial datagrams may start a connection.
+	Initial
+	// LongHeader datagrams belong to a handshake in progress.
+	LongHeader
+	// ShortHeader datagrams belong to an established connection.
+	ShortHeader
+)
+
+const (
+	longHeaderBit   = 0x80
+	packetTypeMask  = 0x30
+	versionAt       = 1
+	longIDLengthAt  = 5
+	maxIDLength     = 20
+	minShortPacket  = 1 + Size
+	minInitialBytes = 1200
+)
+
+// Parse returns the kind of a QUIC datagram and its destination connection id. The id is a part of b.
+func Parse(b []byte) (Kind, []byte) {
+	if len(b) == 0 {
+		return Malformed, nil
+	}
+	if b[0]&longHeaderBit == 0 {
+		if len(b) < minShortPacket {
+			return Malformed, nil
+		}
+		return ShortHeader, b[1:minShortPacket]
+	}
+	if len(b) <= longIDLengthAt {
+		return Malformed, nil
+	}
+	n := int(b[longIDLengthAt])
+	if n > maxIDLength || len(b) < longIDLengthAt+1+n {
+		return Malformed, nil
+	}
+	id := b[longIDLengthAt+1 : longIDLengthAt+1+n]
+	if b[0]&packetTypeMask == 0 && len(b) >= minInitialBytes {
+		return Initial, id
+	}
+	return LongHeader, id
+}
--- /dev/null
+++ b/internal/route/stamper/stamper.go
@@ -0,0 +1,78 @@
+// Package stamper issues and verifies QUIC connection ids that name the upstream which holds the connection, in the
+// manner of QUIC-LB (draft-ietf-quic-load-balancers), with a keyed tag so that a caller cannot name an upstream itself.
+package stamper
+
+import (
+	"encoding/binary"
+
+	"github.com/dchest/siphash"
+	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// Size is the length of a connection id in bytes: key id 1, upstream id 4, nonce 5, tag 6.
+const Size = 16
+
+const (
+	upstreamAt = 1
+	nonceAt    = 5
+	tagAt      = 10
+	tagSize    = Size - tagAt
+)
+
+// ErrNoKey means that a stamper has no key.
+var ErrNoKey = eris.New("no connection id key")
+
+// KeyID selects one of the keys that are valid at the same time while keys rotate.
+type KeyID byte
+
+// Key is a 128-bit key.
+type Key struct {
+	ID     KeyID
+	K0, K1 uint64
+}
+
+// Stamper issues and verifies connection ids. It is immutable.
+type Stamper struct {
+	// Keys are all keys that verify; the first one issues.
+	Keys []Key
+}
+
+// Stamp writes a connection id for an upstream into id, which must hold Size bytes.
+func (s *Stamper) Stamp(id []byte, u registrar.UpstreamID, nonce uint64) error {
+	if len(s.Keys) == 0 {
+		return ErrNoKey
+	}
+	k := s.Keys[0]
+	var n [8]byte
+	binary.BigEndian.PutUint64(n[:], nonce)
+	id[0] = byte(k.ID)
+	binary.BigEndian.PutUint32(id[upstreamAt:], uint32(u))
+	copy(id[nonceAt:tagAt], n[3:])
+	t := tag(k, id)
+	copy(id[tagAt:Size], t[:])
+	return nil
+}
+
+// Verify returns the upstream that a connection id names, or false if the id was not issued with a known key.
+func (s *Stamper) Verify(id []byte) (registrar.UpstreamID, bool) {
+	if len(id) != Size {
+		return 0, false
+	}
+	for _, k := range s.Keys {
+		if byte(k.ID) != id[0] {
+			continue
+		}
+		if tag(k, id) == [tagSize]byte(id[tagAt:]) {
+			return registrar.UpstreamID(binary.BigEndian.Uint32(id[upstreamAt:])), true
+		}
+	}
+	return 0, false
+}
+
+func tag(k Key, id []byte) [tagSize]byte {
+	var full [8]byte
+	binary.BigEndian.PutUint64(full[:], siphash.Hash(k.K0, k.K1, id[:tagAt]))
+	return [tagSize]byte(full[:tagSize])
+}
--- /dev/null
+++ b/internal/secret/issuer/issuer.go
@@ -0,0 +1,154 @@
+// Package issuer creates the key material of a small deployment: an authority, certificates and a data key.
+package issuer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/secret/loader"
+)
+
+// Names of the files in a key folder.
+const (
+	AuthorityFile = "authority.pem"
+	authorityKey  = "authority.key"
+	DataKeyFile   = "data.key"
+)
+
+const serialBits = 120
+
+// Issuer signs certificates with the authority in a folder.
+type Issuer struct {
+	Folder string
+	// ExpireAt is when issued certificates expire.
+	ExpireAt time.Time
+}
+
+// Init creates the authority and the data key. It fails if the folder holds them already.
+func (s *Issuer) Init(now time.Time) error {
+	if err := os.MkdirAll(s.Folder, 0o700); err != nil {
+		return eris.Wrap(err, "create key folder")
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return eris.Wrap(err, "create authority key")
+	}
+	t, err := s.template(now, "peridotstage authority")
+	if err != nil {
+		return err
+	}
+	t.IsCA, t.BasicConstraintsValid = true, true
+	t.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, t, t, key.Public(), key)
+	if err != nil {
+		return eris.Wrap(err, "sign authority")
+	}
+	if err := s.writePair(AuthorityFile, authorityKey, der, key); err != nil {
+		return err
+	}
+	data := make([]byte, loader.DataKeySize)
+	if _, err := rand.Read(data); err != nil {
+		return eris.Wrap(err, "create data key")
+	}
+	return s.write(DataKeyFile, []byte(hex.EncodeToString(data)+"\n"))
+}
+
+// Issue creates NAME.pem and NAME.key for the given kind of holder.
+func (s *Issuer) Issue(now time.Time, kind loader.Holder, name string, addresses []netip.Addr, hosts []string) error {
+	caDER, err := s.readBlock(AuthorityFile)
+	if err != nil {
+		return err
+	}
+	ca, err := x509.ParseCertificate(caDER)
+	if err != nil {
+		return eris.Wrap(err, "parse authority")
+	}
+	caKeyDER, err := s.readBlock(authorityKey)
+	if err != nil {
+		return err
+	}
+	caKey, err := x509.ParseECPrivateKey(caKeyDER)
+	if err != nil {
+		return eris.Wrap(err, "parse authority key")
+	}
+	t, err := s.template(now, name)
+	if err != nil {
+		return err
+	}
+	t.Subject.OrganizationalUnit = []string{string(kind)}
+	t.DNSNames = hosts
+	for _, a := range addresses {
+		t.IPAddresses = append(t.IPAddresses, net.IP(a.AsSlice()))
+	}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return eris.Wrap(err, "create key")
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, ca, key.Public(), caKey)
+	if err != nil {
+		return eris.Wrap(err, "sign certificate")
+	}
+	return s.writePair(name+".pem", name+".key", der, key)
+}
+
+func (s *Issuer) template(now time.Time, name string) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, eris.Wrap(err, "create serial number")
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-time.Minute),
+		NotAfter:     s.ExpireAt,
+	}, nil
+}
+
+func (s *Issuer) readBlock(name string) ([]byte, error) {
+	b, err := os.ReadFile(filepath.Join(s.Folder, name))
+	if err != nil {
+		return nil, eris.Wrap(err, "read authority")
+	}
+	block, _ := pem.Decode(b)
+	if block == nil {
+		return nil, eris.Errorf("%s is not in PEM format", name)
+	}
+	return block.Bytes, nil
+}
+
+func (s *Issuer) writePair(certName, keyName string, der []byte, key *ecdsa.PrivateKey) error {
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return eris.Wrap(err, "encode key")
+	}
+	if err := s.write(certName, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})); err != nil {
+		return err
+	}
+	return s.write(keyName, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}))
+}
+
+func (s *Issuer) write(name string, b []byte) error {
+	f, err := os.OpenFile(filepath.Join(s.Folder, name), os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "create key file")
+	}
+	if _, err := f.Write(b); err != nil {
+		return eris.Wrap(err, "write key file")
+	}
+	return eris.Wrap(f.Close(), "close key file")
+}
--- /dev/null
+++ b/internal/wire/encoder/datagram.go
@@ -0,0 +1,98 @@
+// Package encoder translates between typed values and the formats that travel between machines.
+package encoder
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/dchest/siphash"
+	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/route/carrier"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// Errors of the datagram format.
+var (
+	// ErrShort means that a datagram ends before its header does.
+	ErrShort = eris.New("datagram is too short")
+	// ErrVersion means that a datagram has an unknown format version.
+	ErrVersion = eris.New("unknown datagram version")
+	// ErrTag means that a datagram was not sealed with the data key.
+	ErrTag = eris.New("datagram has a wrong tag")
+)
+
+// DatagramVersion is the version of the datagram header.
+const DatagramVersion = 1
+
+// Key authenticates datagrams between machines.
+type Key struct{ K0, K1 uint64 }
+
+const (
+	fixedSize    = 4 + 4 + 4 + 8
+	addrPortSize = 16 + 2
+	// TagSize is the length in bytes of the tag that ends a header.
+	TagSize = 16
+	// HeaderSize is the length in bytes of a header before the payload.
+	HeaderSize = fixedSize + 3*addrPortSize + TagSize
+	tagAt      = HeaderSize - TagSize
+)
+
+// AppendDatagram appends the sealed header and the payload to b.
+func AppendDatagram(b []byte, k Key, h *carrier.Header, payload []byte) []byte {
+	start := len(b)
+	b = append(b, DatagramVersion, byte(h.Kind), h.Hops, byte(h.Flags))
+	b = binary.BigEndian.AppendUint32(b, uint32(h.Service))
+	b = binary.BigEndian.AppendUint32(b, uint32(h.Target))
+	b = binary.BigEndian.AppendUint64(b, uint64(h.Revision))
+	b = appendAddrPort(b, h.Flow.Caller)
+	b = appendAddrPort(b, h.Flow.Service)
+	b = appendAddrPort(b, h.Entry)
+	b = append(b, make([]byte, TagSize)...)
+	b = append(b, payload...)
+	seal(k, b[start:])
+	return b
+}
+
+// seal writes the tag over the header and the payload, with the tag field itself taken as zero.
+func seal(k Key, d []byte) {
+	h0, h1 := siphash.Hash128(k.K0, k.K1, d)
+	binary.BigEndian.PutUint64(d[tagAt:], h0)
+	binary.BigEndian.PutUint64(d[tagAt+8:], h1)
+}
+
+// ParseDatagram verifies a datagram, fills h and returns the payload, which is a part of d. It zeroes the tag in d.
+func ParseDatagram(d []byte, k Key, h *carrier.Header) ([]byte, error) {
+	if len(d) < HeaderSize {
+		return nil, ErrShort
+	}
+	if d[0] != DatagramVersion {
+		return nil, ErrVersion
+	}
+	t0 := binary.BigEndian.Uint64(d[tagAt:])
+	t1 := binary.BigEndian.Uint64(d[tagAt+8:])
+	clear(d[tagAt:HeaderSize])
+	h0, h1 := siphash.Hash128(k.K0, k.K1, d)
+	if (h0^t0)|(h1^t1) != 0 {
+		return nil, ErrTag
+	}
+	h.Kind, h.Hops, h.Flags = carrier.Kind(d[1]), d[2], carrier.Flags(d[3])
+	h.Service = registrar.ServiceID(binary.BigEndian.Uint32(d[4:]))
+	h.Target = registrar.UpstreamID(binary.BigEndian.Uint32(d[8:]))
+	h.Revision = registrar.Revision(binary.BigEndian.Uint64(d[12:]))
+	h.Flow.Caller = parseAddrPort(d[fixedSize:])
+	h.Flow.Service = parseAddrPort(d[fixedSize+addrPortSize:])
+	h.Entry = parseAddrPort(d[fixedSize+2*addrPortSize:])
+	return d[HeaderSize:], nil
+}
+
+func appendAddrPort(b []byte, a netip.AddrPort) []byte {
+	ip := a.Addr().As16()
+	b = append(b, ip[:]...)
+	return binary.BigEndian.AppendUint16(b, a.Port())
+}
+
+func parseAddrPort(b []byte) netip.AddrPort {
+	ip := netip.AddrFrom16([16]byte(b[:16])).Unmap()
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[16:]))
+}
--- /dev/null
+++ b/internal/wire/encoder/heartbeat.go
@@ -0,0 +1,127 @@
+package encoder
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
+	"github.com/peridotstage/peridotstage/internal/route/counter"
+	"github.com/peridotstage/peridotstage/internal/wire/messenger"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// Protocol is the version of the messages between machines. A machine talks to peers of its own and of the previous
+// version.
+const Protocol = 1
+
+// ErrProtocol means that the peer's protocol version is not supported.
+var ErrProtocol = eris.New("unsupported protocol version")
+
+// CheckProtocol returns ErrProtocol unless the peer's version is within one of Protocol.
+func CheckProtocol(version uint32) error {
+	if version+1 < Protocol || version > Protocol+1 {
+		return eris.Wrapf(ErrProtocol, "peer has %d, this machine has %d", version, Protocol)
+	}
+	return nil
+}
+
+// HeartbeatToMessage translates a heartbeat.
+func HeartbeatToMessage(h leaser.Heartbeat) (*messenger.HeartbeatRequest, error) {
+	machine, err := json.Marshal(h.Machine)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode machine")
+	}
+	m := &messenger.HeartbeatRequest{
+		Protocol: Protocol, Machine: machine, Revision: uint64(h.Revision), LeaseExpiredServes: h.ServeExpired,
+	}
+	if a := h.Announcement; a != nil {
+		m.Announcement = &messenger.Announcement{
+			Upstream: string(a.Upstream), Service: string(a.Service), Slots: uint32(a.Slots), Weight: uint32(a.Weight),
+			OldestFlow: uint64(a.OldestFlow), Draining: a.Draining,
+		}
+	}
+	for _, e := range h.Evidence {
+		m.Evidence = append(m.Evidence, &messenger.Evidence{
+			Customer: string(e.Customer), Passed: e.Passed, Dropped: e.Dropped, PassedSinceCut: e.PassedSinceCut,
+			LiveFlows: e.LiveFlows, LastPassed: e.LastPassedMilli,
+		})
+	}
+	return m, nil
+}
+
+// HeartbeatFromMessage translates a received heartbeat.
+func HeartbeatFromMessage(m *messenger.HeartbeatRequest) (leaser.Heartbeat, error) {
+	h := leaser.Heartbeat{Revision: registrar.Revision(m.GetRevision()), ServeExpired: m.GetLeaseExpiredServes()}
+	if err := CheckProtocol(m.GetProtocol()); err != nil {
+		return h, err
+	}
+	if err := json.Unmarshal(m.GetMachine(), &h.Machine); err != nil {
+		return h, eris.Wrap(err, "decode machine")
+	}
+	if a := m.GetAnnouncement(); a != nil {
+		h.Announcement = &leaser.Announcement{
+			Upstream: registrar.UpstreamName(a.GetUpstream()), Service: registrar.ServiceName(a.GetService()),
+			Slots: registrar.Slots(min(a.GetSlots(), math.MaxUint16)), Weight: registrar.Weight(a.GetWeight()),
+			OldestFlow: registrar.Revision(a.GetOldestFlow()), Draining: a.GetDraining(),
+		}
+	}
+	for _, e := range m.GetEvidence() {
+		h.Evidence = append(h.Evidence, counter.Evidence{
+			Customer: registrar.CustomerName(e.GetCustomer()), Passed: e.GetPassed(), Dropped: e.GetDropped(),
+			PassedSinceCut: e.GetPassedSinceCut(), LiveFlows: e.GetLiveFlows(), LastPassedMilli: e.GetLastPassed(),
+		})
+	}
+	return h, nil
+}
+
+// ReplyToMessage translates the reply to a heartbeat.
+func ReplyToMessage(r subscriber.Reply) (*messenger.HeartbeatReply, error) {
+	m := &messenger.HeartbeatReply{
+		Protocol: Protocol, Revision: uint64(r.Revision), AgeMicros: uint64(r.Age.Microseconds()), Granted: r.Granted,
+	}
+	for _, u := range r.Updates {
+		b, err := json.Marshal(u)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode update")
+		}
+		m.Updates = append(m.Updates, b)
+	}
+	if r.State != nil {
+		b, err := json.Marshal(r.State)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode state")
+		}
+		m.State = b
+	}
+	return m, nil
+}
+
+// ReplyFromMessage translates a received reply.
+func ReplyFromMessage(m *messenger.HeartbeatReply) (subscriber.Reply, error) {
+	r := subscriber.Reply{
+		Revision: registrar.Revision(m.GetRevision()), Granted: m.GetGranted(),
+		// Rounded up, so that a lease never gains from the encoding.
+		Age: time.Duration(m.GetAgeMicros()+1) * time.Microsecond,
+	}
+	if err := CheckProtocol(m.GetProtocol()); err != nil {
+		return r, err
+	}
+	for _, b := range m.GetUpdates() {
+		var u registrar.Update
+		if err := json.Unmarshal(b, &u); err != nil {
+			return r, eris.Wrap(err, "decode update")
+		}
+		r.Updates = append(r.Updates, u)
+	}
+	if len(m.GetState()) > 0 {
+		r.State = &registrar.State{}
+		if err := json.Unmarshal(m.GetState(), r.State); err != nil {
+			return r, eris.Wrap(err, "decode state")
+		}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/world/registrar/apply.go
@@ -0,0 +1,338 @@
+package registrar
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// undo reverts one step of an update.
+type undo func()
+
+// Apply applies the update of the next revision as a whole. It returns ErrStale if the revision is already applied,
+// ErrGap if an earlier one is missing and ErrInvalid if a change contradicts the configuration; nothing is applied then.
+func (w *World) Apply(u Update) error {
+	w.applyMu.Lock()
+	defer w.applyMu.Unlock()
+	switch current := w.Revision(); {
+	case u.Revision <= current:
+		return eris.Wrapf(ErrStale, "update %d, have %d", u.Revision, current)
+	case u.Revision != current+1:
+		return eris.Wrapf(ErrGap, "update %d, have %d", u.Revision, current)
+	}
+	if err := w.applyLocked(u); err != nil {
+		return err
+	}
+	w.revision.Store(uint64(u.Revision))
+	return nil
+}
+
+// Check tells whether Apply would accept the changes as the next revision. It changes nothing.
+func (w *World) Check(changes []Change) error {
+	w.applyMu.Lock()
+	trial := NewWorld()
+	st := w.state()
+	w.applyMu.Unlock()
+	if err := trial.Restore(st); err != nil {
+		return err
+	}
+	return trial.Apply(Update{Revision: st.Revision + 1, Changes: changes})
+}
+
+func (w *World) applyLocked(u Update) error {
+	w.lockAll()
+	defer w.unlockAll()
+	nextServiceID, nextUpstreamID := w.nextServiceID, w.nextUpstreamID
+	var done []undo
+	for i, c := range u.Changes {
+		step, err := w.applyChange(u.Revision, c)
+		if err != nil {
+			for _, revert := range slices.Backward(done) {
+				revert()
+			}
+			w.nextServiceID, w.nextUpstreamID = nextServiceID, nextUpstreamID
+			return eris.Wrapf(err, "change %d (%s)", i+1, c.Kind)
+		}
+		done = append(done, step)
+	}
+	for i := range w.services {
+		w.renewGenerations(&w.services[i], u.Revision)
+	}
+	return nil
+}
+
+func (w *World) applyChange(at Revision, c Change) (undo, error) {
+	switch {
+	case c.Kind == PutZone && c.Zone != nil:
+		return w.putZone(at, *c.Zone)
+	case c.Kind == DeleteZone && c.Zone != nil:
+		return w.deleteZone(c.Zone.Name)
+	case c.Kind == PutService && c.Service != nil:
+		return w.putService(*c.Service)
+	case c.Kind == DeleteService && c.Service != nil:
+		return w.deleteService(c.Service.Name)
+	case c.Kind == PutUpstream && c.Upstream != nil:
+		return w.putUpstream(*c.Upstream)
+	case c.Kind == DeleteUpstream && c.Upstream != nil:
+		return w.deleteUpstream(c.Upstream.Name)
+	case c.Kind == PutCustomer && c.Customer != nil:
+		return w.putCustomer(at, *c.Customer)
+	case c.Kind == DeleteCustomer && c.Customer != nil:
+		return w.deleteCustomer(c.Customer.Name)
+	case c.Kind == PutContract && c.Contract != nil:
+		return w.putContract(*c.Contract)
+	case c.Kind == DeleteContract && c.Contract != nil:
+		return w.deleteContract(c.Contract.Name)
+	case c.Kind == PutMachine && c.Machine != nil:
+		return putObject(w.machines.machines, c.Machine.Name, *c.Machine)
+	case c.Kind == DeleteMachine && c.Machine != nil:
+		return deleteObject(w.machines.machines, c.Machine.Name)
+	case c.Kind == TrimGenerations && c.Trim != nil:
+		return w.trimGenerations(*c.Trim)
+	}
+	return nil, eris.Wrapf(ErrInvalid, "kind %q without its object", c.Kind)
+}
+
+func putObject[K ~string, V any](m map[K]V, name K, v V) (undo, error) {
+	if name == "" {
+		return nil, eris.Wrap(ErrInvalid, "name is empty")
+	}
+	old, had := m[name]
+	m[name] = v
+	return func() {
+		if had {
+			m[name] = old
+		} else {
+			delete(m, name)
+		}
+	}, nil
+}
+
+func deleteObject[K ~string, V any](m map[K]V, name K) (undo, error) {
+	old, ok := m[name]
+	if !ok {
+		return nil, eris.Wrapf(ErrInvalid, "%q does not exist", name)
+	}
+	delete(m, name)
+	return func() { m[name] = old }, nil
+}
+
+func (w *World) putZone(at Revision, z Zone) (undo, error) {
+	if z.Region == "" {
+		return nil, eris.Wrapf(ErrInvalid, "zone %q has no region", z.Name)
+	}
+	old, had := w.places.zones[z.Name]
+	z.ChangedAt = old.ChangedAt
+	if !had || old.Withdrawn != z.Withdrawn {
+		z.ChangedAt = at
+	}
+	return putObject(w.places.zones, z.Name, z)
+}
+
+func (w *World) deleteZone(name ZoneName) (undo, error) {
+	for i := range w.services {
+		for _, u := range w.services[i].upstreams {
+			if u.Zone == name {
+				return nil, eris.Wrapf(ErrInvalid, "zone %q still has upstream %q", name, u.Name)
+			}
+		}
+	}
+	return deleteObject(w.places.zones, name)
+}
+
+func (w *World) putService(s Service) (undo, error) {
+	if !s.Address.IsValid() || s.Address.Port() == 0 {
+		return nil, eris.Wrapf(ErrInvalid, "service %q: address %q is not an IP address with a port", s.Name, s.Address)
+	}
+	if s.Transport != TransportQUIC && s.Transport != TransportUDP {
+		return nil, eris.Wrapf(ErrInvalid, "service %q: transport %q, allowed are %q and %q",
+			s.Name, s.Transport, TransportQUIC, TransportUDP)
+	}
+	for i := range w.services {
+		for _, other := range w.services[i].services {
+			if other.Name != s.Name && other.Address == s.Address {
+				return nil, eris.Wrapf(ErrInvalid, "service %q: address %s belongs to service %q", s.Name, s.Address, other.Name)
+			}
+		}
+	}
+	old, had := w.shard(s.Name).services[s.Name]
+	s.ID, s.Generations = old.ID, old.Generations
+	if had && (old.Transport != s.Transport || old.Address != s.Address) {
+		return nil, eris.Wrapf(ErrInvalid, "service %q: address and transport cannot change", s.Name)
+	}
+	if !had {
+		s.ID = w.nextServiceID
+		w.nextServiceID++
+	}
+	return putObject(w.shard(s.Name).services, s.Name, s)
+}
+
+func (w *World) deleteService(name ServiceName) (undo, error) {
+	shard := w.shard(name)
+	for _, u := range shard.upstreams {
+		if u.Service == name {
+			return nil, eris.Wrapf(ErrInvalid, "service %q still has upstream %q", name, u.Name)
+		}
+	}
+	for _, c := range shard.contracts {
+		if c.Service == name {
+			return nil, eris.Wrapf(ErrInvalid, "service %q still has contract %q", name, c.Name)
+		}
+	}
+	return deleteObject(shard.services, name)
+}
+
+func (w *World) putUpstream(u Upstream) (undo, error) {
+	shard := w.shard(u.Service)
+	if _, ok := shard.services[u.Service]; !ok {
+		return nil, eris.Wrapf(ErrInvalid, "upstream %q: service %q does not exist", u.Name, u.Service)
+	}
+	if _, ok := w.places.zones[u.Zone]; !ok {
+		return nil, eris.Wrapf(ErrInvalid, "upstream %q: zone %q does not exist", u.Name, u.Zone)
+	}
+	if u.Slots == 0 {
+		return nil, eris.Wrapf(ErrInvalid, "upstream %q: slots must be at least 1", u.Name)
+	}
+	if u.Weight == 0 {
+		u.Weight = Weight(u.Slots) * WeightPerSlot
+	}
+	for i := range w.services {
+		if old, ok := w.services[i].upstreams[u.Name]; ok && old.Service != u.Service {
+			return nil, eris.Wrapf(ErrInvalid, "upstream %q belongs to service %q", u.Name, old.Service)
+		}
+	}
+	old, had := shard.upstreams[u.Name]
+	u.ID = old.ID
+	if !had {
+		u.ID = w.nextUpstreamID
+		w.nextUpstreamID++
+	}
+	return putObject(shard.upstreams, u.Name, u)
+}
+
+func (w *World) deleteUpstream(name UpstreamName) (undo, error) {
+	for i := range w.services {
+		if _, ok := w.services[i].upstreams[name]; ok {
+			return deleteObject(w.services[i].upstreams, name)
+		}
+	}
+	return nil, eris.Wrapf(ErrInvalid, "%q does not exist", name)
+}
+
+func (w *World) putCustomer(at Revision, c Customer) (undo, error) {
+	old, had := w.places.customers[c.Name]
+	c.CutAt = old.CutAt
+	if had && old.Cut != c.Cut || !had && c.Cut {
+		c.CutAt = at
+	}
+	return putObject(w.places.customers, c.Name, c)
+}
+
+func (w *World) deleteCustomer(name CustomerName) (undo, error) {
+	for i := range w.services {
+		for _, c := range w.services[i].contracts {
+			if c.Customer == name {
+				return nil, eris.Wrapf(ErrInvalid, "customer %q still has contract %q", name, c.Name)
+			}
+		}
+	}
+	return deleteObject(w.places.customers, name)
+}
+
+func (w *World) putContract(c Contract) (undo, error) {
+	shard := w.shard(c.Service)
+	if _, ok := shard.services[c.Service]; !ok {
+		return nil, eris.Wrapf(ErrInvalid, "contract %q: service %q does not exist", c.Name, c.Service)
+	}
+	if _, ok := w.places.customers[c.Customer]; !ok {
+		return nil, eris.Wrapf(ErrInvalid, "contract %q: customer %q does not exist", c.Name, c.Customer)
+	}
+	if len(c.SourcePrefixes) == 0 {
+		return nil, eris.Wrapf(ErrInvalid, "contract %q: source_prefixes is empty", c.Name)
+	}
+	c.SourcePrefixes = slices.Clone(c.SourcePrefixes)
+	for i, p := range c.SourcePrefixes {
+		if !p.IsValid() {
+			return nil, eris.Wrapf(ErrInvalid, "contract %q: source prefix %d is not valid", c.Name, i+1)
+		}
+		c.SourcePrefixes[i] = p.Masked()
+	}
+	for i := range w.services {
+		if old, ok := w.services[i].contracts[c.Name]; ok && old.Service != c.Service {
+			return nil, eris.Wrapf(ErrInvalid, "contract %q belongs to service %q", c.Name, old.Service)
+		}
+	}
+	for _, other := range shard.contracts {
+		if other.Name == c.Name || other.Service != c.Service {
+			continue
+		}
+		if p, ok := sharedPrefix(c.SourcePrefixes, other.SourcePrefixes); ok {
+			return nil, eris.Wrapf(ErrInvalid, "contract %q: source prefix %s belongs to contract %q", c.Name, p, other.Name)
+		}
+	}
+	return putObject(shard.contracts, c.Name, c)
+}
+
+func sharedPrefix(a, b []netip.Prefix) (netip.Prefix, bool) {
+	for _, p := range a {
+		if slices.Contains(b, p) {
+			return p, true
+		}
+	}
+	return netip.Prefix{}, false
+}
+
+func (w *World) deleteContract(name ContractName) (undo, error) {
+	for i := range w.services {
+		if _, ok := w.services[i].contracts[name]; ok {
+			return deleteObject(w.services[i].contracts, name)
+		}
+	}
+	return nil, eris.Wrapf(ErrInvalid, "%q does not exist", name)
+}
+
+func (w *World) trimGenerations(t Trim) (undo, error) {
+	shard := w.shard(t.Service)
+	s, ok := shard.services[t.Service]
+	if !ok {
+		return nil, eris.Wrapf(ErrInvalid, "service %q does not exist", t.Service)
+	}
+	first := 0
+	for first < len(s.Generations)-1 && s.Generations[first].Revision < t.Before {
+		first++
+	}
+	s.Generations = slices.Clone(s.Generations[first:])
+	return putObject(shard.services, t.Service, s)
+}
+
+// renewGenerations appends a generation to each service whose members differ from those of its newest generation.
+func (w *World) renewGenerations(shard *serviceShard, at Revision) {
+	members := map[ServiceName][]Member{}
+	for _, u := range shard.upstreams {
+		if w.takesNewFlows(u) {
+			members[u.Service] = append(members[u.Service], Member{Upstream: u.ID, Weight: u.Weight})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(shard.services)) {
+		s := shard.services[name]
+		next := members[name]
+		slices.SortFunc(next, func(a, b Member) int { return cmp.Compare(a.Upstream, b.Upstream) })
+		if n := len(s.Generations); n > 0 && slices.Equal(s.Generations[n-1].Members, next) || n == 0 && len(next) == 0 {
+			continue
+		}
+		generations := append(slices.Clone(s.Generations), Generation{Revision: at, Members: next})
+		if extra := len(generations) - maxGenerations; extra > 0 {
+			generations = generations[extra:]
+		}
+		s.Generations = generations
+		shard.services[name] = s
+	}
+}
+
+func (w *World) takesNewFlows(u Upstream) bool {
+	z, ok := w.places.zones[u.Zone]
+	return ok && !z.Withdrawn && !u.Retired && !u.Silent
+}
--- /dev/null
+++ b/internal/world/registrar/change.go
@@ -0,0 +1,58 @@
+package registrar
+
+// ChangeKind says which object a change puts or deletes.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	PutZone         ChangeKind = "put_zone"
+	DeleteZone      ChangeKind = "delete_zone"
+	PutService      ChangeKind = "put_service"
+	DeleteService   ChangeKind = "delete_service"
+	PutUpstream     ChangeKind = "put_upstream"
+	DeleteUpstream  ChangeKind = "delete_upstream"
+	PutCustomer     ChangeKind = "put_customer"
+	DeleteCustomer  ChangeKind = "delete_customer"
+	PutContract     ChangeKind = "put_contract"
+	DeleteContract  ChangeKind = "delete_contract"
+	PutMachine      ChangeKind = "put_machine"
+	DeleteMachine   ChangeKind = "delete_machine"
+	TrimGenerations ChangeKind = "trim_generations"
+)
+
+// Change puts or deletes one object. Exactly the field that belongs to Kind is set. Deletes use the name of the object.
+type Change struct {
+	Kind     ChangeKind `json:"kind"`
+	Zone     *Zone      `json:"zone,omitempty"`
+	Service  *Service   `json:"service,omitempty"`
+	Upstream *Upstream  `json:"upstream,omitempty"`
+	Customer *Customer  `json:"customer,omitempty"`
+	Contract *Contract  `json:"contract,omitempty"`
+	Machine  *Machine   `json:"machine,omitempty"`
+	Trim     *Trim      `json:"trim,omitempty"`
+}
+
+// Trim drops the generations of a service that are older than Before. The newest generation is always kept.
+type Trim struct {
+	Service ServiceName `json:"service"`
+	Before  Revision    `json:"before"`
+}
+
+// Update is the set of changes of one revision. It is applied as a whole or not at all.
+type Update struct {
+	Revision Revision `json:"revision"`
+	Changes  []Change `json:"changes"`
+}
+
+// State is a full copy of the configuration. Every list is sorted by name.
+type State struct {
+	Revision       Revision   `json:"revision"`
+	NextServiceID  ServiceID  `json:"next_service_id"`
+	NextUpstreamID UpstreamID `json:"next_upstream_id"`
+	Zones          []Zone     `json:"zones"`
+	Services       []Service  `json:"services"`
+	Upstreams      []Upstream `json:"upstreams"`
+	Customers      []Customer `json:"customers"`
+	Contracts      []Contract `json:"contracts"`
+	Machines       []Machine  `json:"machines"`
+}
--- /dev/null
+++ b/internal/world/registrar/id.go
@@ -0,0 +1,72 @@
+// Package registrar holds the objects that a deployment consists of (machines, zones, links, contracts, customers,
+// services and upstreams) and World, the replicated configuration that is built from them revision by revision.
+package registrar
+
+import "net/netip"
+
+// Names are chosen by operators or settings and are unique per kind.
+type (
+	// ServiceName names a service, for example "order-desk".
+	ServiceName string
+	// ZoneName names a data centre, for example "johor-a".
+	ZoneName string
+	// RegionName names a group of zones, for example "johor".
+	RegionName string
+	// CustomerName names a customer.
+	CustomerName string
+	// ContractName names a contract between a customer and a service.
+	ContractName string
+	// UpstreamName names one server of a service.
+	UpstreamName string
+	// MachineName names one process of the system.
+	MachineName string
+	// OperatorName names a person or program that uses the intent API.
+	OperatorName string
+)
+
+// Revision counts configuration updates. Revision 0 is the empty configuration.
+type Revision uint64
+
+// Incarnation distinguishes two starts of the same machine. It is drawn at random at each start.
+type Incarnation uint64
+
+type (
+	// ServiceID is the numeric id of a service. Ids start at 1 and are never reused.
+	ServiceID uint32
+	// UpstreamID is the numeric id of an upstream. Ids start at 1 and are never reused.
+	UpstreamID uint32
+)
+
+// Weight is capacity in thousandths of a slot.
+type Weight uint32
+
+// WeightPerSlot is the weight of one request slot.
+const WeightPerSlot Weight = 1000
+
+// Slots counts requests that an upstream can serve at the same time.
+type Slots uint16
+
+// Role is the part that a machine plays.
+type Role string
+
+// The roles of a machine.
+const (
+	RoleEntry   Role = "entry"
+	RoleAgent   Role = "agent"
+	RoleControl Role = "control"
+)
+
+// Transport is the protocol that callers of a service speak.
+type Transport string
+
+// The transports of a service.
+const (
+	TransportQUIC Transport = "quic"
+	TransportUDP  Transport = "udp"
+)
+
+// Flow identifies a flow by the address of its caller and the address of the service.
+type Flow struct {
+	Caller  netip.AddrPort
+	Service netip.AddrPort
+}
