Serve a request from a caller to an upstream by separate processes

Entry on nbio, agent with QUIC and HTTP/3, control with an in-memory log of one member, intent API, command line and stand-ins. The entry reads sockets with raw system calls, because nbio's own UDP reads keep a connection object for each caller and allocate an address for each datagram.

Not in place yet: replication, admission limits, request claims, reports.

--- /dev/null
+++ b/internal/cli/commander/contract.go
@@ -0,0 +1,45 @@
+package commander
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+func addContract(a *app) {
+	contract := a.Command("contract", "Plan changes of contracts between customers and services.")
+	full := func(verb, help string, kind planner.IntentKind) {
+		cmd := contract.Command(verb, help)
+		name := cmd.Arg("name", "Name of the contract.").Required().String()
+		customer := cmd.Flag("customer", "Customer of the contract.").Required().String()
+		service := cmd.Flag("service", "Service of the contract.").Required().String()
+		sources := cmd.Flag("source", "Source prefix of the customer; may be repeated.").Required().Strings()
+		cmd.Action(func(*kingpin.ParseContext) error {
+			c := registrar.Contract{
+				Name: registrar.ContractName(*name), Customer: registrar.CustomerName(*customer),
+				Service: registrar.ServiceName(*service),
+			}
+			for _, s := range *sources {
+				p, err := netip.ParsePrefix(s)
+				if err != nil {
+					return usageError{fmt.Errorf("--source %q is not a prefix such as 192.0.2.0/24", s)}
+				}
+				c.SourcePrefixes = append(c.SourcePrefixes, p)
+			}
+			return a.api.plan(planner.Intent{Kind: kind, Contract: &c})
+		})
+	}
+	full("add", "Plan a new contract.", planner.AddContract)
+	full("change", "Plan to replace a contract.", planner.ChangeContract)
+	remove := contract.Command("remove", "Plan to remove a contract.")
+	name := remove.Arg("name", "Name of the contract.").Required().String()
+	remove.Action(func(*kingpin.ParseContext) error {
+		return a.api.plan(planner.Intent{
+			Kind: planner.RemoveContract, Contract: &registrar.Contract{Name: registrar.ContractName(*name)},
+		})
+	})
+}
--- /dev/null
+++ b/internal/cli/commander/roles.go
@@ -0,0 +1,29 @@
+package commander
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/peridotstage/peridotstage/internal/cli/runner"
+	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/setting/parser"
+)
+
+func addRoles(a *app) {
+	addRole(a, "entry", "Run an entry: take callers' datagrams and forward them to agents.", runner.Entry)
+	addRole(a, "agent", "Run an agent beside one upstream.", runner.Agent)
+	addRole(a, "control", "Run a control instance.", runner.Control)
+}
+
+func addRole[T any](a *app, name, help string, run func(context.Context, T, *recorder.Recorder) error) {
+	cmd := a.Command(name, help)
+	settings := cmd.Flag("settings", "Settings file (JSON with comments).").Required().ExistingFile()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		cfg, err := parser.Load[T](*settings)
+		if err != nil {
+			return usageError{err}
+		}
+		return a.run(func(ctx context.Context, rec *recorder.Recorder) error { return run(ctx, cfg, rec) })
+	})
+}
--- /dev/null
+++ b/internal/cli/runner/group.go
@@ -0,0 +1,37 @@
+package runner
+
+import (
+	"context"
+	"sync"
+)
+
+// group runs functions until the first one fails or the context ends.
+type group struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	wg     sync.WaitGroup
+}
+
+func newGroup(ctx context.Context) *group {
+	g := &group{}
+	g.ctx, g.cancel = context.WithCancelCause(ctx)
+	return g
+}
+
+func (g *group) run(f func(ctx context.Context) error) {
+	g.wg.Go(func() {
+		if err := f(g.ctx); err != nil {
+			g.cancel(err)
+		}
+	})
+}
+
+// wait returns the first failure once all functions have ended, or nil if the parent context ended.
+func (g *group) wait() error {
+	<-g.ctx.Done()
+	g.wg.Wait()
+	if err := context.Cause(g.ctx); err != context.Canceled {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/runner/node.go
@@ -0,0 +1,149 @@
+// Package runner builds each role from its parts and runs it.
+package runner
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
+	"github.com/peridotstage/peridotstage/internal/front/connector"
+	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/secret/loader"
+	"github.com/peridotstage/peridotstage/internal/setting/parser"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+const (
+	// heartbeatInterval leaves four tries within a lease.
+	heartbeatInterval = 500 * time.Millisecond
+	// heartbeatTimeout bounds one try, so that a silent control instance costs less than half a lease.
+	heartbeatTimeout = 700 * time.Millisecond
+	// retryInterval is the wait after a failed try before the next instance is asked.
+	retryInterval = 100 * time.Millisecond
+)
+
+// node keeps an entry or agent in touch with control.
+type node struct {
+	cfg        parser.Node
+	machine    registrar.Machine
+	subscriber *subscriber.Subscriber
+	recorder   *recorder.Recorder
+	clients    []*connector.Client
+	// describe completes a heartbeat.
+	describe func(h *leaser.Heartbeat)
+	// wake asks for a heartbeat at once.
+	wake chan struct{}
+}
+
+func newNode(cfg parser.Node, role registrar.Role, keys *loader.Material, rec *recorder.Recorder) (*node, error) {
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	n := &node{
+		cfg: cfg, recorder: rec, wake: make(chan struct{}, 1),
+		machine: registrar.Machine{
+			Name: cfg.Name, Role: role, Zone: cfg.Zone, DataAddress: cfg.DataAddress,
+			ControlAddress: cfg.ControlAddress, Incarnation: incarnation,
+		},
+		subscriber: &subscriber.Subscriber{
+			World: registrar.NewWorld(), ServeExpired: cfg.LeaseExpired == parser.LeaseExpiredServe,
+		},
+	}
+	for _, a := range preferred(cfg.Name, cfg.Control) {
+		n.clients = append(n.clients, &connector.Client{Address: a, TLS: keys.Client})
+	}
+	return n, nil
+}
+
+func newIncarnation() (registrar.Incarnation, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, eris.Wrap(err, "draw incarnation")
+	}
+	return registrar.Incarnation(binary.BigEndian.Uint64(b[:]) >> 1), nil
+}
+
+// preferred rotates the control instances so that nodes spread over them.
+func preferred(name registrar.MachineName, control []netip.AddrPort) []netip.AddrPort {
+	if len(control) == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(string(name)) % uint64(len(control)))
+	return append(append([]netip.AddrPort(nil), control[first:]...), control[:first]...)
+}
+
+// newer asks for a heartbeat if another machine has a newer revision.
+func (n *node) newer(r registrar.Revision) {
+	if r <= n.subscriber.World.Revision() {
+		return
+	}
+	n.heartbeatNow()
+}
+
+func (n *node) heartbeatNow() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run sends heartbeats until ctx ends.
+func (n *node) run(ctx context.Context) error {
+	at := 0
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-n.wake:
+		}
+		wait := heartbeatInterval
+		if err := n.heartbeat(ctx, n.clients[at]); err != nil && ctx.Err() == nil {
+			n.recorder.Warn(recorder.HeartbeatFailed, zap.Stringer("control", n.clients[at].Address), recorder.Err(err))
+			at = (at + 1) % len(n.clients)
+			wait = retryInterval
+		}
+		timer.Reset(wait)
+	}
+}
+
+func (n *node) heartbeat(ctx context.Context, c *connector.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	h := leaser.Heartbeat{
+		Machine: n.machine, Revision: n.subscriber.World.Revision(), ServeExpired: n.subscriber.ServeExpired,
+	}
+	n.describe(&h)
+	r, sentAt, err := c.Heartbeat(ctx, h)
+	if eris.Is(err, connector.ErrRefused) {
+		n.recorder.Warn(recorder.AnnounceRefused, recorder.Err(err))
+		err = nil
+	}
+	if err != nil {
+		return err
+	}
+	before := n.subscriber.World.Revision()
+	if err := n.subscriber.Accept(sentAt, r); err != nil {
+		return err
+	}
+	if after := n.subscriber.World.Revision(); after != before {
+		n.recorder.Info(recorder.RevisionEnforced, zap.Uint64("revision", uint64(after)))
+		// The next heartbeat reports the revision at once, so that a proof does not wait for the interval.
+		n.heartbeatNow()
+	}
+	if !r.Granted {
+		return eris.New("control instance cannot grant a lease")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fake/deployer/client.go
@@ -0,0 +1,262 @@
+package deployer
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/stretchr/testify/require"
+
+	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/fake/backend"
+	"github.com/peridotstage/peridotstage/internal/fake/sprayer"
+	"github.com/peridotstage/peridotstage/internal/front/administrator"
+	"github.com/peridotstage/peridotstage/internal/secret/issuer"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// WaitTime bounds the wait for a deployment to become ready. It is not a promise of the product.
+const WaitTime = 20 * time.Second
+
+var requestNumbers atomic.Uint64
+
+// API calls the intent API of control instance i as an operator and decodes the answer into out.
+func (d *Deployment) API(i int, method, path string, body, out any) (int, error) {
+	pair, err := tls.LoadX509KeyPair(d.KeyFile("operator.pem"), d.KeyFile("operator.key"))
+	if err != nil {
+		return 0, err
+	}
+	c := http.Client{
+		Timeout:   5 * time.Second,
+		Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: d.pool(), Certificates: []tls.Certificate{pair}}, DisableKeepAlives: true},
+	}
+	var in io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return 0, err
+		}
+		in = bytes.NewReader(b)
+	}
+	req, err := http.NewRequest(method, "https://"+d.APIAddr(i).String()+path, in)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, b)
+	}
+	return resp.StatusCode, json.Unmarshal(b, out)
+}
+
+func (d *Deployment) pool() *x509.CertPool {
+	pem, err := os.ReadFile(d.KeyFile(issuer.AuthorityFile))
+	require.NoError(d.t, err)
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(pem)
+	return pool
+}
+
+// Carry plans an intent and confirms the plan, trying the control instances in turn until one answers.
+func (d *Deployment) Carry(in planner.Intent) planner.Result {
+	d.t.Helper()
+	var r planner.Result
+	plan := administrator.PlanRequest{Number: planner.RequestNumber(requestNumbers.Add(1)), Intent: in}
+	d.anyControl(http.MethodPost, "/v1/plans", plan, &r)
+	confirm := administrator.ConfirmRequest{Number: planner.RequestNumber(requestNumbers.Add(1))}
+	d.anyControl(http.MethodPost, fmt.Sprintf("/v1/plans/%d/confirm", r.Plan.ID), confirm, &r)
+	return r
+}
+
+func (d *Deployment) anyControl(method, path string, body, out any) {
+	d.t.Helper()
+	var last error
+	for deadline := time.Now().Add(WaitTime); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		for i := range d.Controls {
+			status, err := d.API(i, method, path, body, out)
+			if err == nil {
+				return
+			}
+			last = err
+			if status != 0 && status != http.StatusServiceUnavailable {
+				require.NoError(d.t, err)
+			}
+		}
+	}
+	require.NoError(d.t, last)
+}
+
+// Status returns the status of the deployment.
+func (d *Deployment) Status() administrator.Status {
+	d.t.Helper()
+	var st administrator.Status
+	d.anyControl(http.MethodGet, "/v1/status", nil, &st)
+	return st
+}
+
+// Configure creates the zones, the services and one customer that covers all callers, and waits until every node enforces
+// them and every upstream has been announced.
+func (d *Deployment) Configure(customer registrar.CustomerName) {
+	d.t.Helper()
+	for _, z := range d.Zones {
+		d.Carry(planner.Intent{Kind: planner.AddZone, Zone: &registrar.Zone{Name: z, Region: d.Region}})
+	}
+	d.Carry(planner.Intent{Kind: planner.AddCustomer, Customer: &registrar.Customer{Name: customer}})
+	for i, s := range d.Services {
+		d.Carry(planner.Intent{Kind: planner.AddService, Service: &registrar.Service{
+			Name: s.Name, Address: d.ServiceAddr(i), Transport: s.Transport,
+		}})
+		d.Carry(planner.Intent{Kind: planner.AddContract, Contract: &registrar.Contract{
+			Name: registrar.ContractName(string(customer) + "-" + string(s.Name)), Customer: customer, Service: s.Name,
+			SourcePrefixes: []netip.Prefix{netip.PrefixFrom(d.CallerAddr(0), 24)},
+		}})
+	}
+	d.WaitReady()
+}
+
+// WaitReady waits until every upstream is announced and every node enforces the newest revision.
+func (d *Deployment) WaitReady() {
+	d.t.Helper()
+	want := 0
+	for _, s := range d.Services {
+		want += len(s.Zones)
+	}
+	require.Eventually(d.t, func() bool {
+		st := d.Status()
+		ready := 0
+		for _, u := range st.Upstream {
+			if !u.Silent {
+				ready++
+			}
+		}
+		return ready == want && enforced(st, want+d.Entries)
+	}, WaitTime, 100*time.Millisecond, "deployment does not become ready")
+}
+
+func enforced(st administrator.Status, nodes int) bool {
+	n := 0
+	for _, node := range st.Nodes {
+		if node.Revision == st.Revision && node.Leased {
+			n++
+		}
+	}
+	return n >= nodes
+}
+
+// Backends starts a backend for each upstream of service s. change may adjust each one before it starts.
+func (d *Deployment) Backends(s int, change func(i int, b *backend.Backend)) []*backend.Backend {
+	d.t.Helper()
+	var all []*backend.Backend
+	for i := range d.Services[s].Zones {
+		b := &backend.Backend{
+			Name: string(d.UpstreamName(s, i)), Address: d.BackendAddr(s, i), Slots: int(d.Services[s].Slots),
+			ServiceTime: time.Millisecond,
+		}
+		if change != nil {
+			change(i, b)
+		}
+		require.NoError(d.t, b.Run())
+		d.t.Cleanup(b.Close)
+		all = append(all, b)
+	}
+	return all
+}
+
+// Fabric starts a fabric in front of the entries for service s.
+func (d *Deployment) Fabric(s int, seed uint64) *sprayer.Sprayer {
+	d.t.Helper()
+	f := &sprayer.Sprayer{Address: d.ServiceAddr(s), Seed: seed}
+	var entries []netip.AddrPort
+	for i := range d.Entries {
+		entries = append(entries, d.EntryServiceAddr(i, s))
+	}
+	f.SetEntries(entries)
+	require.NoError(d.t, f.Run())
+	d.t.Cleanup(f.Close)
+	return f
+}
+
+// Caller is an HTTP/3 client with a socket of its own.
+type Caller struct {
+	*http3.Transport
+	base      string
+	transport *quic.Transport
+	conn      net.PacketConn
+}
+
+// Caller returns a client of service s that calls from source address i.
+func (d *Deployment) Caller(s, i int) *Caller {
+	d.t.Helper()
+	conn, err := net.ListenPacket("udp", netip.AddrPortFrom(d.CallerAddr(i), 0).String())
+	require.NoError(d.t, err)
+	c := &Caller{base: "https://" + d.ServiceAddr(s).String(), transport: &quic.Transport{Conn: conn}, conn: conn}
+	to := net.UDPAddrFromAddrPort(d.ServiceAddr(s))
+	c.Transport = &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: d.pool(), ServerName: string(d.Services[s].Name)},
+		QUICConfig:      &quic.Config{KeepAlivePeriod: 5 * time.Second},
+		Dial: func(ctx context.Context, _ string, cfg *tls.Config, qc *quic.Config) (*quic.Conn, error) {
+			return c.transport.DialEarly(ctx, to, cfg, qc)
+		},
+	}
+	d.t.Cleanup(c.Close)
+	return c
+}
+
+// Close closes the connection and the socket.
+func (c *Caller) Close() {
+	_ = c.Transport.Close()
+	_ = c.transport.Close()
+	_ = c.conn.Close()
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Do sends a request and reads the whole answer.
+func (c *Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := c.RoundTrip(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: b}, err
+}
+
+// Get sends a GET request with a time limit.
+func (c *Caller) Get(path string, limit time.Duration) (Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return c.Do(ctx, http.MethodGet, path, nil, nil)
+}
--- /dev/null
+++ b/internal/front/listener/socket.go
@@ -0,0 +1,117 @@
+package listener
+
+import (
+	"net"
+	"net/netip"
+	"syscall"
+	"unsafe"
+
+	"github.com/lesismal/nbio"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+// socketBuffer is the size in bytes asked of the kernel for each direction of a socket. The default of about 200 KiB
+// holds only some 150 full datagrams, too few for a burst of answers.
+const socketBuffer = 4 << 20
+
+// socket is a UDP socket that nbio polls. It reads and writes with raw system calls into preallocated memory, because the
+// standard wrappers allocate an address for each datagram.
+type socket struct {
+	fd      int
+	isIPv6  bool
+	local   netip.AddrPort
+	conn    *nbio.Conn
+	receive func(from netip.AddrPort, payload []byte)
+	// buffer is used only by the poller that the socket belongs to.
+	buffer []byte
+}
+
+func openSocket(e *nbio.Engine, local netip.AddrPort, receive func(netip.AddrPort, []byte)) (*socket, error) {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", local)
+	}
+	// The kernel may grant less; a smaller buffer costs only loss under bursts.
+	_ = udp.SetReadBuffer(socketBuffer)
+	_ = udp.SetWriteBuffer(socketBuffer)
+	local = udp.LocalAddr().(*net.UDPAddr).AddrPort()
+	conn, err := nbio.NBConn(udp)
+	if err != nil {
+		return nil, eris.Wrapf(err, "prepare %s", local)
+	}
+	s := &socket{
+		isIPv6: local.Addr().Is6() && !local.Addr().Is4In6(), local: local, conn: conn, receive: receive,
+		buffer: make([]byte, maxDatagram),
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, eris.Wrapf(err, "prepare %s", local)
+	}
+	if err := raw.Control(func(fd uintptr) { s.fd = int(fd) }); err != nil {
+		return nil, eris.Wrapf(err, "prepare %s", local)
+	}
+	if err := unix.SetNonblock(s.fd, true); err != nil {
+		return nil, eris.Wrapf(err, "prepare %s", local)
+	}
+	conn.SetSession(s)
+	if _, err := e.AddConn(conn); err != nil {
+		return nil, eris.Wrapf(err, "poll %s", local)
+	}
+	return s, nil
+}
+
+func (s *socket) close() { _ = s.conn.Close() }
+
+// drain reads up to limit datagrams. The poller calls it again if more are waiting.
+func (s *socket) drain(limit int) {
+	for range limit {
+		var from unix.RawSockaddrInet6
+		size := uint32(unsafe.Sizeof(from))
+		n, _, errno := syscall.RawSyscall6(unix.SYS_RECVFROM, uintptr(s.fd),
+			uintptr(unsafe.Pointer(unsafe.SliceData(s.buffer))), uintptr(len(s.buffer)), unix.MSG_DONTWAIT,
+			uintptr(unsafe.Pointer(&from)), uintptr(unsafe.Pointer(&size)))
+		if errno == unix.EINTR {
+			continue
+		}
+		if errno != 0 {
+			return
+		}
+		s.receive(addrPort(&from), s.buffer[:n])
+	}
+}
+
+func addrPort(sa *unix.RawSockaddrInet6) netip.AddrPort {
+	port := uint16(sa.Port)<<8 | uint16(sa.Port)>>8
+	if sa.Family == unix.AF_INET {
+		sa4 := (*unix.RawSockaddrInet4)(unsafe.Pointer(sa))
+		return netip.AddrPortFrom(netip.AddrFrom4(sa4.Addr), port)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom16(sa.Addr).Unmap(), port)
+}
+
+// send writes one datagram. A datagram that the kernel does not take is lost, as it could be on the network.
+func (s *socket) send(to netip.AddrPort, payload []byte) {
+	if len(payload) == 0 || !to.IsValid() {
+		return
+	}
+	port := to.Port()<<8 | to.Port()>>8
+	if !s.isIPv6 {
+		sa := unix.RawSockaddrInet4{Family: unix.AF_INET, Port: port, Addr: to.Addr().Unmap().As4()}
+		s.sendTo(unsafe.Pointer(&sa), unsafe.Sizeof(sa), payload)
+		return
+	}
+	sa := unix.RawSockaddrInet6{Family: unix.AF_INET6, Port: port, Addr: to.Addr().As16()}
+	s.sendTo(unsafe.Pointer(&sa), unsafe.Sizeof(sa), payload)
+}
+
+func (s *socket) sendTo(sa unsafe.Pointer, size uintptr, payload []byte) {
+	for {
+		_, _, errno := syscall.RawSyscall6(unix.SYS_SENDTO, uintptr(s.fd),
+			uintptr(unsafe.Pointer(unsafe.SliceData(payload))), uintptr(len(payload)), unix.MSG_DONTWAIT,
+			uintptr(sa), size)
+		if errno != unix.EINTR {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/responder/responder.go
@@ -0,0 +1,222 @@
+// Package responder is the front end of an agent. It takes forwarded datagrams, ends QUIC and HTTP/3 for the callers of its
+// service, and relays plain UDP.
+package responder
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/route/carrier"
+	"github.com/peridotstage/peridotstage/internal/route/counter"
+	"github.com/peridotstage/peridotstage/internal/route/stamper"
+	"github.com/peridotstage/peridotstage/internal/route/tracker"
+	"github.com/peridotstage/peridotstage/internal/wire/encoder"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+const (
+	maxDatagram  = 64 << 10
+	socketBuffer = 4 << 20
+	// idleTimeout closes connections without traffic.
+	idleTimeout = 30 * time.Second
+	// keepAlive is the interval of probes on a connection. With the loss of all probes a connection that went silent is
+	// found within idleTimeout, or earlier by the prober.
+	keepAlive = 1 * time.Second
+	// closeCut is the QUIC application error code for connections of customers that were cut off.
+	closeCut quic.ApplicationErrorCode = 0x1001
+)
+
+// Responder serves the callers of one agent. The exported fields are set before Run.
+type Responder struct {
+	Tracker     *tracker.Tracker
+	Counter     *counter.Counter
+	Key         encoder.Key
+	Stamper     *stamper.Stamper
+	ResetKey    [32]byte
+	DataAddress netip.AddrPort
+	// Certificate is presented to callers.
+	Certificate *tls.Config
+	Handler     http.Handler
+	Upstream    netip.AddrPort
+	Recorder    *recorder.Recorder
+	// Newer is called with each revision that a datagram carries.
+	Newer func(registrar.Revision)
+
+	udp   *net.UDPConn
+	nonce nonceSource
+	// mu guards the fields below, which are set once the configuration contains the service.
+	mu     sync.Mutex
+	conn   *packetConn
+	server *http3.Server
+	quic   *quic.Transport
+	relay  *relay
+	conns  connections
+}
+
+// Run takes datagrams until Close.
+func (r *Responder) Run() error {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(r.DataAddress))
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", r.DataAddress)
+	}
+	_ = udp.SetReadBuffer(socketBuffer)
+	_ = udp.SetWriteBuffer(socketBuffer)
+	if err := r.nonce.seed(); err != nil {
+		return err
+	}
+	r.udp = udp
+	go r.receive()
+	return nil
+}
+
+// Shutdown stops taking new requests, waits for those in progress and closes all connections.
+func (r *Responder) Shutdown(ctx context.Context) error {
+	r.mu.Lock()
+	server, transport := r.server, r.quic
+	r.mu.Unlock()
+	var err error
+	if server != nil {
+		err = server.Shutdown(ctx)
+	}
+	if transport != nil {
+		_ = transport.Close()
+	}
+	return errors.Join(err, r.udp.Close())
+}
+
+func (r *Responder) receive() {
+	b := make([]byte, maxDatagram)
+	out := make([]byte, 0, maxDatagram)
+	var h carrier.Header
+	for {
+		n, _, err := r.udp.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		payload, err := encoder.ParseDatagram(b[:n], r.Key, &h)
+		if err != nil {
+			r.Counter.Drop(carrier.DropBadSeal)
+			continue
+		}
+		r.Newer(h.Revision)
+		v := r.Tracker.Receive(time.Now(), &h, payload)
+		switch v.Action {
+		case tracker.Deliver:
+			r.deliver(h.Flow, payload)
+		case tracker.PassOn:
+			out = encoder.AppendDatagram(out[:0], r.Key, &v.Header, payload)
+			_, _ = r.udp.WriteToUDPAddrPort(out, v.To)
+		}
+	}
+}
+
+func (r *Responder) deliver(f registrar.Flow, payload []byte) {
+	r.mu.Lock()
+	conn, relay := r.conn, r.relay
+	r.mu.Unlock()
+	switch {
+	case conn != nil:
+		if !conn.deliver(f.Caller, payload) {
+			r.Counter.Drop(carrier.DropQueueFull)
+		}
+	case relay != nil:
+		relay.deliver(f.Caller, payload)
+	}
+}
+
+// answer sends a datagram to a caller through an entry.
+func (r *Responder) answer(caller netip.AddrPort, payload []byte) {
+	h, ok := r.Tracker.Answer(time.Now(), registrar.Flow{Caller: caller})
+	if !ok {
+		r.Counter.Drop(carrier.DropUnknownFlow)
+		return
+	}
+	out := encoder.AppendDatagram(make([]byte, 0, encoder.HeaderSize+len(payload)), r.Key, &h, payload)
+	_, _ = r.udp.WriteToUDPAddrPort(out, h.Entry)
+}
+
+// Update starts serving once the configuration contains the service, and closes the connections of customers that may no
+// longer use it.
+func (r *Responder) Update(w *registrar.World) {
+	if err := r.start(w); err != nil {
+		r.Recorder.Error(recorder.ListenFailed, recorder.Err(err))
+	}
+	r.conns.closeIf(func(addr netip.Addr) bool {
+		_, ok := r.Tracker.Allowed(addr)
+		return !ok
+	})
+}
+
+func (r *Responder) start(w *registrar.World) error {
+	u, ok := r.Tracker.Self()
+	if !ok {
+		return nil
+	}
+	s, ok := w.Service(u.Service)
+	if !ok {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conn != nil || r.relay != nil {
+		return nil
+	}
+	if s.Transport == registrar.TransportUDP {
+		r.relay = newRelay(r.Upstream, r.answer, r.Tracker)
+		return nil
+	}
+	return r.startQUIC(s, u.ID)
+}
+
+func (r *Responder) startQUIC(s registrar.Service, id registrar.UpstreamID) error {
+	conn := newPacketConn(s.Address, r.answer)
+	reset := quic.StatelessResetKey(r.ResetKey)
+	r.quic = &quic.Transport{
+		Conn:                  conn,
+		ConnectionIDGenerator: &idGenerator{stamper: r.Stamper, upstream: id, nonce: &r.nonce},
+		StatelessResetKey:     &reset,
+	}
+	ln, err := r.quic.ListenEarly(http3.ConfigureTLSConfig(r.Certificate), &quic.Config{
+		MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive,
+	})
+	if err != nil {
+		return eris.Wrap(err, "listen for QUIC")
+	}
+	r.server = &http3.Server{
+		Handler: r.Handler,
+		ConnContext: func(ctx context.Context, c *quic.Conn) context.Context {
+			r.track(c)
+			return ctx
+		},
+	}
+	r.conn = conn
+	server := r.server
+	go func() { _ = server.ServeListener(ln) }()
+	return nil
+}
+
+// track remembers a connection until it ends.
+func (r *Responder) track(c *quic.Conn) {
+	r.conns.add(c)
+	context.AfterFunc(c.Context(), func() {
+		r.conns.remove(c)
+		if a, ok := c.RemoteAddr().(*net.UDPAddr); ok {
+			from := a.AddrPort()
+			r.Tracker.Close(registrar.Flow{Caller: netip.AddrPortFrom(from.Addr().Unmap(), from.Port())})
+		}
+	})
+}
