--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOLS := $(CURDIR)/bin/tools
 
-.PHONY: build test race generate lint quickstart tools
+.PHONY: build test generate lint quickstart tools measure
 
 build:
 	$(GO) build -o bin/peridotstage .
@@ -24,3 +24,7 @@
 
 quickstart: build
 	./examples/quickstart.sh
+
+# Runs one measurement of docs/MEASUREMENTS.md.
+measure:
+	$(GO) test ./internal/fake/measurer -count=1 -v -timeout 30m -run 'TestMeasure/^$(NAME)$$' -measure -seed=$(or $(SEED),1)
