--- /dev/null
+++ b/internal/store/journaler/file.go
@@ -0,0 +1,49 @@
+package journaler
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+)
+
+// Save replaces a checksummed file. It is durable when Save returns; a crash leaves the old or the new content.
+func Save(path string, body []byte) error {
+	if err := os.MkdirAll(filepath.Dir(path), folderMode); err != nil {
+		return eris.Wrap(err, "create folder")
+	}
+	temp := path + ".tmp"
+	f, err := os.OpenFile(temp, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return eris.Wrap(err, "create file")
+	}
+	defer f.Close()
+	if _, err := f.Write(encodeFrame(0, 0, []Record{{Body: body}})); err != nil {
+		return eris.Wrap(err, "write file")
+	}
+	if err := f.Sync(); err != nil {
+		return eris.Wrap(err, "sync file")
+	}
+	if err := os.Rename(temp, path); err != nil {
+		return eris.Wrap(err, "replace file")
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
+// Load reads a file that Save wrote. It returns false if there is none, and ErrCorrupt if it is damaged.
+func Load(path string) ([]byte, bool, error) {
+	b, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, false, nil
+	}
+	if err != nil {
+		return nil, false, eris.Wrap(err, "read file")
+	}
+	records, n, err := decodeFrame(0, 0, b)
+	if err != nil || n != len(b) || len(records) != 1 {
+		return nil, false, eris.Wrapf(ErrCorrupt, "file %s", path)
+	}
+	return records[0].Body, true, nil
+}
