Report a planned stop as a success

The group took the cause of its context for a failure unless it was context.Canceled. Since signal.NotifyContext names the signal as the cause, every SIGTERM ended in "machine failed: terminated signal received" and exit code 1. The group now keeps the first failure of its functions.

Errors in log lines no longer carry the stack, which was repeated with each failed heartbeat.

--- a/internal/cli/runner/group.go
+++ b/internal/cli/runner/group.go
@@ -10,6 +10,10 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	wg     sync.WaitGroup
+	once   sync.Once
+	// err is the first failure of a function. The cause of ctx is of no use here, because a signal that ends the parent
+	// is a cause as well.
+	err error
 }
 
 func newGroup(ctx context.Context) *group {
@@ -21,6 +25,7 @@
 func (g *group) run(f func(ctx context.Context) error) {
 	g.wg.Go(func() {
 		if err := f(g.ctx); err != nil {
+			g.once.Do(func() { g.err = err })
 			g.cancel(err)
 		}
 	})
@@ -30,8 +35,5 @@
 func (g *group) wait() error {
 	<-g.ctx.Done()
 	g.wg.Wait()
-	if err := context.Cause(g.ctx); err != context.Canceled {
-		return err
-	}
-	return nil
+	return g.err
 }
--- a/internal/front/listener/listener.go
+++ b/internal/front/listener/listener.go
@@ -110,7 +110,7 @@
 	}
 	s, err := openSocket(l.engine, local, func(from netip.AddrPort, payload []byte) { l.fromCaller(from, service, payload) })
 	if err != nil {
-		l.Recorder.Error(recorder.ListenFailed, zap.Stringer("service_address", service), zap.Error(err))
+		l.Recorder.Error(recorder.ListenFailed, zap.Stringer("service_address", service), recorder.Err(err))
 		return
 	}
 	l.services[service] = s
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -58,5 +58,6 @@
 	r.log.Error(e.Message, append(fields, zap.Int("event", e.Number))...)
 }
 
-// Err is the field for an error.
-func Err(err error) zap.Field { return zap.Error(err) }
+// Err is the field for an error. It holds the message without the stack that eris adds, which would be repeated with each
+// failed heartbeat.
+func Err(err error) zap.Field { return zap.String("error", err.Error()) }
