Check every field of the settings files

The parser decodes by the tags of the settings types. It refuses unknown, missing and repeated fields, null, values that a field's rule does not allow and addresses given twice, and lists all problems with file, line, path, value and what is allowed. Before, a misspelt optional field was the only thing found, without a line, and a bad address or an empty list of control instances was accepted. Defaults are explicit. check-settings checks a file or lists the settings of a role; docs/settings.md is held against the same tables by a test.

The drain time of agents and the linger time of entries are settings now.

--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -37,6 +37,7 @@
 	a.Terminate(func(code int) { status = code })
 	a.api = newAPIFlags(a)
 	addRoles(a)
+	addCheckSettings(a)
 	addKeys(a)
 	addZone(a)
 	addService(a)
--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -21,11 +21,7 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-const (
-	expireInterval = 5 * time.Second
-	// drainTime bounds the wait for requests in progress at a planned stop.
-	drainTime = 60 * time.Second
-)
+const expireInterval = 5 * time.Second
 
 // openAdmitter admits all flows.
 type openAdmitter struct{}
@@ -83,7 +79,7 @@
 	}
 	draining.Store(true)
 	n.heartbeatNow()
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTime)
+	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(cfg.Drain))
 	defer cancel()
 	err = r.Shutdown(drain)
 	g.cancel(nil)
--- /dev/null
+++ b/internal/setting/parser/rule.go
@@ -0,0 +1,104 @@
+package parser
+
+import (
+	"net/netip"
+	"reflect"
+	"regexp"
+	"time"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// rule says which values a field may have.
+type rule struct {
+	// want describes the allowed values.
+	want string
+	// ok gets the decoded value.
+	ok func(v any) bool
+}
+
+const (
+	maxSlots  = 10_000
+	maxLinger = 5 * time.Minute
+	maxDrain  = time.Hour
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// rules are keyed by the rule tag.
+var rules = map[string]rule{
+	"name": {"1 to 63 letters, digits, dots, dashes and underscores, the first a letter or digit", func(v any) bool {
+		return namePattern.MatchString(text(v))
+	}},
+	"address": {"IP:PORT with a specified IP address and a port from 1", func(v any) bool {
+		a, ok := v.(netip.AddrPort)
+		return ok && a.Port() > 0 && !a.Addr().IsUnspecified()
+	}},
+	"ip": {"a specified IP address", func(v any) bool {
+		a, ok := v.(netip.Addr)
+		return ok && a.IsValid() && !a.IsUnspecified()
+	}},
+	"file": {"a path", func(v any) bool { return text(v) != "" }},
+	"lease_expired": {"fence or serve", func(v any) bool {
+		return v == LeaseExpiredFence || v == LeaseExpiredServe
+	}},
+	"slots":  {"1 to 10000", func(v any) bool { n, ok := v.(registrar.Slots); return ok && n >= 1 && n <= maxSlots }},
+	"linger": {"a duration from 0s to 5m", within(0, maxLinger)},
+	"drain":  {"a duration from 1s to 1h", within(time.Second, maxDrain)},
+}
+
+func within(low, high time.Duration) func(any) bool {
+	return func(v any) bool {
+		d, ok := v.(Duration)
+		return ok && time.Duration(d) >= low && time.Duration(d) <= high
+	}
+}
+
+// text returns the value of any string type.
+func text(v any) string {
+	if r := reflect.ValueOf(v); r.Kind() == reflect.String {
+		return r.String()
+	}
+	return ""
+}
+
+// mismatch is a field whose value does not agree with other fields.
+type mismatch struct {
+	path, value, want string
+}
+
+// crossChecker is a settings type with conditions over several fields.
+type crossChecker interface {
+	crossCheck() []mismatch
+}
+
+// distinct finds TCP addresses that two fields share.
+func (m *Machine) distinct(more map[string]netip.AddrPort) []mismatch {
+	var all []mismatch
+	seen := map[netip.AddrPort]string{m.ControlAddress: "control_address"}
+	check := func(path string, a netip.AddrPort) {
+		if other, taken := seen[a]; taken && a.IsValid() {
+			all = append(all, mismatch{path, a.String(), "an address other than " + other})
+		}
+		seen[a] = path
+	}
+	check("metrics_address", m.MetricsAddress)
+	for path, a := range more {
+		check(path, a)
+	}
+	return all
+}
+
+func (e *Entry) crossCheck() []mismatch { return e.distinct(nil) }
+
+func (a *Agent) crossCheck() []mismatch {
+	return a.distinct(map[string]netip.AddrPort{"upstream_address": a.UpstreamAddress})
+}
+
+func (c *Control) crossCheck() []mismatch {
+	all := c.distinct(map[string]netip.AddrPort{"api_address": c.APIAddress})
+	if own := c.Members[c.Name]; own != c.ControlAddress {
+		all = append(all, mismatch{"members." + string(c.Name), own.String(), "control_address, which is " + c.ControlAddress.String()})
+	}
+	return all
+}
--- a/internal/setting/parser/settings.go
+++ b/internal/setting/parser/settings.go
@@ -1,14 +1,13 @@
-// Package parser reads and checks settings files, which are JSON with comments and trailing commas.
+// Package parser reads and checks settings files, which are JSON with comments and trailing commas. Each field carries its
+// rule, its default and its description as tags: a field without a default is required.
 package parser
 
 import (
-	"bytes"
-	"encoding/json"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/tailscale/hujson"
 
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -25,84 +24,78 @@
 	LeaseExpiredServe LeaseExpired = "serve"
 )
 
+// Duration is a time span, written as in "1.5s".
+type Duration time.Duration
+
+// UnmarshalText parses a duration.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
+
+// MarshalText formats a duration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
 // Machine holds the settings that all roles share.
 type Machine struct {
-	Name registrar.MachineName `json:"name"`
-	Zone registrar.ZoneName    `json:"zone"`
-	// Region is the region of Zone.
-	Region registrar.RegionName `json:"region"`
-	// ControlAddress is where the machine takes calls of other machines.
-	ControlAddress netip.AddrPort `json:"control_address"`
-	// MetricsAddress is where metrics and readiness are served over HTTP; no address turns them off.
-	MetricsAddress netip.AddrPort `json:"metrics_address"`
-	Keys           Keys           `json:"keys"`
+	Name           registrar.MachineName `json:"name" rule:"name" doc:"name of the machine, unique in the deployment; its certificate is issued to it"`
+	Zone           registrar.ZoneName    `json:"zone" rule:"name" doc:"zone (data centre) that the machine stands in"`
+	Region         registrar.RegionName  `json:"region" rule:"name" doc:"region of the zone"`
+	ControlAddress netip.AddrPort        `json:"control_address" rule:"address" doc:"where the machine takes calls of other machines (TCP)"`
+	MetricsAddress netip.AddrPort        `json:"metrics_address" rule:"address" default:"" doc:"where /metrics and /ready are served over HTTP; without it they are off"`
+	Keys           Keys                  `json:"keys"`
 }
 
 // Keys names the files that hold key material.
 type Keys struct {
-	Authority   string `json:"authority_file"`
-	Certificate string `json:"certificate_file"`
-	PrivateKey  string `json:"private_key_file"`
-	// Data authenticates datagrams between machines and connection ids.
-	Data string `json:"data_key_file"`
+	Authority   string `json:"authority_file" rule:"file" doc:"certificates of the authorities that peers may be signed by"`
+	Certificate string `json:"certificate_file" rule:"file" doc:"certificate of this machine"`
+	PrivateKey  string `json:"private_key_file" rule:"file" doc:"private key of the certificate"`
+	Data        string `json:"data_key_file" rule:"file" doc:"data keys, one a line in hexadecimal: the first one seals datagrams and issues connection ids, all of them verify"`
 }
 
 // Node holds the settings that entries and agents share.
 type Node struct {
 	Machine
-	DataAddress netip.AddrPort `json:"data_address"`
-	// Control lists the addresses of the control instances.
-	Control      []netip.AddrPort `json:"control"`
-	LeaseExpired LeaseExpired     `json:"lease_expired"`
+	DataAddress  netip.AddrPort   `json:"data_address" rule:"address" doc:"where the machine takes datagrams of other machines (UDP)"`
+	Control      []netip.AddrPort `json:"control" rule:"address" min:"1" max:"64" doc:"control addresses of the control instances and their replicas"`
+	LeaseExpired LeaseExpired     `json:"lease_expired" rule:"lease_expired" default:"fence" doc:"what to do without a valid lease: fence passes nothing; serve goes on with the last configuration, and proofs then say that nothing is proved"`
 }
 
 // Entry holds the settings of an entry.
 type Entry struct {
 	Node
-	// AddressMap gives the local address to bind for a service address; without an entry the service address itself is
-	// bound.
-	AddressMap map[netip.Addr]netip.Addr `json:"address_map"`
+	AddressMap map[netip.Addr]netip.Addr `json:"address_map" rule:"ip" default:"" doc:"local address to bind for the IP address of a service; a service address without one is bound itself"`
+	Linger     Duration                  `json:"linger" rule:"linger" default:"5s" doc:"how long the entry goes on forwarding at a planned stop after it has reported that it is not ready"`
 }
 
 // Agent holds the settings of an agent.
 type Agent struct {
 	Node
-	Upstream registrar.UpstreamName `json:"upstream"`
-	Service  registrar.ServiceName  `json:"service"`
-	// UpstreamAddress is where the upstream listens.
-	UpstreamAddress netip.AddrPort  `json:"upstream_address"`
-	Slots           registrar.Slots `json:"slots"`
-	// ServiceCertificate and ServiceKey are presented to callers.
-	ServiceCertificate string `json:"service_certificate_file"`
-	ServiceKey         string `json:"service_key_file"`
+	Upstream           registrar.UpstreamName `json:"upstream" rule:"name" doc:"name of the upstream beside the agent, unique in the deployment"`
+	Service            registrar.ServiceName  `json:"service" rule:"name" doc:"service that the upstream belongs to"`
+	UpstreamAddress    netip.AddrPort         `json:"upstream_address" rule:"address" doc:"where the upstream listens"`
+	Slots              registrar.Slots        `json:"slots" rule:"slots" doc:"requests that the upstream serves at once"`
+	ServiceCertificate string                 `json:"service_certificate_file" rule:"file" doc:"certificate of the service, which callers see"`
+	ServiceKey         string                 `json:"service_key_file" rule:"file" doc:"private key of the service's certificate"`
+	Drain              Duration               `json:"drain" rule:"drain" default:"60s" doc:"bound of the wait for requests in progress at a planned stop"`
 }
 
 // Control holds the settings of a control instance.
 type Control struct {
 	Machine
-	// APIAddress is where operators reach the intent API over HTTPS.
-	APIAddress netip.AddrPort `json:"api_address"`
-	// DataFolder holds the durable state.
-	DataFolder string `json:"data_folder"`
-	// Members are the control addresses of all control instances by name.
-	Members map[registrar.MachineName]netip.AddrPort `json:"members"`
+	APIAddress netip.AddrPort                           `json:"api_address" rule:"address" doc:"where operators reach the intent API over HTTPS"`
+	DataFolder string                                   `json:"data_folder" rule:"file" doc:"folder of the durable state"`
+	Members    map[registrar.MachineName]netip.AddrPort `json:"members" rule:"address" min:"1" max:"9" doc:"control addresses of all control instances by name, this one included"`
 }
 
-// Load reads a settings file into one of the settings types.
+// Load reads a settings file into one of the settings types. The error lists all problems of the file and is ErrInvalid.
 func Load[T any](path string) (T, error) {
-	var cfg T
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return cfg, eris.Wrap(err, "read settings")
-	}
-	std, err := hujson.Standardize(b)
-	if err != nil {
-		return cfg, eris.Wrapf(ErrInvalid, "%s: %v", path, err)
-	}
-	d := json.NewDecoder(bytes.NewReader(std))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&cfg); err != nil {
-		return cfg, eris.Wrapf(ErrInvalid, "%s: %v", path, err)
+		var none T
+		return none, eris.Wrap(err, "read settings")
 	}
-	return cfg, nil
+	return Parse[T](path, b)
 }
