--- /dev/null
+++ b/internal/fake/measurer/all_test.go
@@ -0,0 +1,5 @@
+package measurer
+
+import "testing"
+
+func TestMeasure(t *testing.T) { runAll(t) }
--- a/internal/fake/measurer/measurer.go
+++ b/internal/fake/measurer/measurer.go
@@ -6,6 +6,8 @@
 
 import (
 	"flag"
+	"maps"
+	"slices"
 	"testing"
 )
 
@@ -14,12 +16,28 @@
 	seed    = flag.Uint64("seed", 1, "seed of random choices")
 )
 
-// Start skips the measurement unless -measure is given, and returns the seed, which it prints.
-func Start(t *testing.T) uint64 {
-	t.Helper()
+// measurement is one entry of docs/MEASUREMENTS.md.
+type measurement func(t *testing.T, seed uint64)
+
+var measurements = map[string]measurement{}
+
+// register adds a measurement under the name that the make target takes.
+func register(name string, m measurement) {
+	if _, ok := measurements[name]; ok {
+		panic("measurement " + name + " is registered twice")
+	}
+	measurements[name] = m
+}
+
+// runAll runs the registered measurements as subtests, or skips them without -measure.
+func runAll(t *testing.T) {
 	if !*enabled {
 		t.Skip("needs -measure")
 	}
-	t.Logf("seed %d", *seed)
-	return *seed
+	for _, name := range slices.Sorted(maps.Keys(measurements)) {
+		t.Run(name, func(t *testing.T) {
+			t.Logf("seed %d", *seed)
+			measurements[name](t, *seed)
+		})
+	}
 }
