--- a/internal/fake/measurer/capacity_test.go
+++ b/internal/fake/measurer/capacity_test.go
@@ -119,12 +119,18 @@
 		start = time.Now()
 		f.Update(w)
 		update := time.Since(start)
+		require.NoError(t, w.Apply(registrar.Update{Revision: 3, Changes: []registrar.Change{
+			{Kind: registrar.PutZone, Zone: &registrar.Zone{Name: "zone-01", Region: "region-1", Withdrawn: true}},
+		}}))
+		start = time.Now()
+		f.Update(w)
+		withdrawal := time.Since(start)
 		state, err := json.Marshal(w.State())
 		require.NoError(t, err)
 		t.Logf("upstreams %5d: build %s, full state %.1f MB as JSON, world %.1f MB, entry tables %.1f MB, first update %s, unchanged update %s, "+
-			"apply one change %s, update after one change %s", n, built.Round(time.Millisecond), float64(len(state))/1e6, float64(world)/1e6,
+			"apply one change %s, update after one change %s, update after a zone withdrawal %s", n, built.Round(time.Millisecond), float64(len(state))/1e6, float64(world)/1e6,
 			float64(tables)/1e6, first.Round(time.Millisecond), again.Round(time.Microsecond), apply.Round(time.Microsecond),
-			update.Round(time.Microsecond))
+			update.Round(time.Microsecond), withdrawal.Round(time.Millisecond))
 		runtime.KeepAlive(f)
 		runtime.KeepAlive(w)
 	}
