Read keys again on SIGHUP without a restart

On SIGHUP each role reads its certificate, authorities, service certificate and data keys again; a wrong file leaves everything as it was. Connections ask for their TLS configuration when they open.

The configuration returned for a client replaces the listener's, so the check of the holder's kind moved into it; without it TestUnauthenticated fails for operator and service certificates on the control port. Dynamic authorities by VerifyConnection on the client side were ruled out, because crypto/tls does not hand an IP address as server name to it. With a switch step that drops the old key, TestDataKeyRotation and TestKeyRotation fail.

--- a/internal/cli/commander/api.go
+++ b/internal/cli/commander/api.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	c := http.Client{Transport: &http.Transport{TLSClientConfig: keys.Client}, Timeout: apiTimeout}
+	c := http.Client{Transport: &http.Transport{TLSClientConfig: keys.Client()}, Timeout: apiTimeout}
 	resp, err := c.Do(req)
 	if err != nil {
 		return eris.Wrap(err, "call intent API")
--- a/internal/cli/commander/keys.go
+++ b/internal/cli/commander/keys.go
@@ -24,12 +24,14 @@
 		now := time.Now()
 		return newIssuer(now).Init(now)
 	})
+	addDataKey(keys, newIssuer)
 	issue := keys.Command("issue", "Create a certificate and its private key.")
 	kind := issue.Arg("kind", "Holder of the certificate: machine, operator or service.").Required().
 		Enum(string(loader.HolderMachine), string(loader.HolderOperator), string(loader.HolderService))
 	name := issue.Arg("name", "Name of the holder.").Required().String()
 	ips := issue.Flag("ip", "IP address that the holder listens on; may be repeated.").Strings()
 	hosts := issue.Flag("host", "Host name of the holder; may be repeated.").Strings()
+	renew := issue.Flag("renew", "Replace the files of an earlier certificate.").Bool()
 	issue.Action(func(*kingpin.ParseContext) error {
 		var addresses []netip.Addr
 		for _, s := range *ips {
@@ -40,6 +42,18 @@
 			addresses = append(addresses, ip)
 		}
 		now := time.Now()
-		return newIssuer(now).Issue(now, loader.Holder(*kind), *name, addresses, *hosts)
+		is := newIssuer(now)
+		is.Renew = *renew
+		return is.Issue(now, loader.Holder(*kind), *name, addresses, *hosts)
 	})
 }
+
+func addDataKey(keys *kingpin.CmdClause, newIssuer func(time.Time) *issuer.Issuer) {
+	dataKey := keys.Command("data-key", "Rotate the data key in three steps. Between steps, copy the file to all machines and send each process SIGHUP.")
+	step := func(name, help string, change func(*issuer.Issuer) error) {
+		dataKey.Command(name, help).Action(func(*kingpin.ParseContext) error { return change(newIssuer(time.Now())) })
+	}
+	step("add", "Step 1: add a new key that only verifies.", (*issuer.Issuer).AddDataKey)
+	step("switch", "Step 2: seal with the new key; the old one still verifies.", (*issuer.Issuer).SwitchDataKey)
+	step("drop", "Step 3: remove all keys but the one that seals.", (*issuer.Issuer).DropDataKeys)
+}
--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -14,7 +14,6 @@
 	"github.com/peridotstage/peridotstage/internal/front/responder"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
-	"github.com/peridotstage/peridotstage/internal/route/stamper"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
@@ -34,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	pair, err := tls.LoadX509KeyPair(cfg.ServiceCertificate, cfg.ServiceKey)
+	pair, err := loader.LoadPair(cfg.ServiceCertificate, cfg.ServiceKey)
 	if err != nil {
 		return eris.Wrap(err, "service_certificate_file")
 	}
@@ -43,14 +42,13 @@
 		return err
 	}
 	counts := &counter.Counter{}
-	ids := &stamper.Stamper{Keys: keys.ConnectionIDs}
 	t := &tracker.Tracker{
 		Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
-		Stamper: ids,
+		Stamper: keys.Stamper,
 	}
 	r := &responder.Responder{
-		Tracker: t, Counter: counts, Key: keys.Data, Stamper: ids, ResetKey: keys.ResetKey, DataAddress: cfg.DataAddress,
-		Certificate: &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS13},
+		Tracker: t, Counter: counts, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey, DataAddress: cfg.DataAddress,
+		Certificate: &tls.Config{GetCertificate: pair.Get, MinVersion: tls.VersionTLS13},
 		Handler:     &responder.Passer{Upstream: cfg.UpstreamAddress, Transport: &http.Transport{}},
 		Upstream:    cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
 	}
@@ -70,6 +68,7 @@
 	// Heartbeats continue while the agent drains, because its lease must stay valid.
 	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
+	g.run(reloadOnHangup(rec, keys, pair))
 	g.run(func(ctx context.Context) error { return expireFlows(ctx, t) })
 	rec.Info(recorder.MachineStarted)
 	select {
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -83,6 +83,7 @@
 		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Leaser: sessions, Recorder: rec,
 	}).Run)
 	g.run(func(ctx context.Context) error { return markSilent(ctx, ledger.World, sessions, p) })
+	g.run(reloadOnHangup(rec, keys))
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
 }
--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -9,7 +9,6 @@
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/forwarder"
-	"github.com/peridotstage/peridotstage/internal/route/stamper"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -27,10 +26,10 @@
 	}
 	counts := &counter.Counter{}
 	f := &forwarder.Forwarder{
-		Stamper: &stamper.Stamper{Keys: keys.ConnectionIDs}, Lease: n.subscriber, Counter: counts, Entry: cfg.DataAddress,
+		Stamper: keys.Stamper, Lease: n.subscriber, Counter: counts, Entry: cfg.DataAddress,
 	}
 	l := &listener.Listener{
-		Decider: f, Counter: counts, Key: keys.Data, DataAddress: cfg.DataAddress, AddressMap: cfg.AddressMap,
+		Decider: f, Counter: counts, Keys: keys.Data, DataAddress: cfg.DataAddress, AddressMap: cfg.AddressMap,
 		Recorder: rec, Newer: n.newer,
 	}
 	n.subscriber.Enforcers = []subscriber.Enforcer{f, l}
@@ -41,6 +40,7 @@
 	defer l.Stop()
 	g := newGroup(ctx)
 	g.run(n.run)
+	g.run(reloadOnHangup(rec, keys))
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
 }
--- a/internal/fake/deployer/deployer.go
+++ b/internal/fake/deployer/deployer.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -298,6 +300,13 @@
 	return p
 }
 
+// Names returns the machine names of all processes.
+func (d *Deployment) Names() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.procs))
+}
+
 // Process returns a process by machine name.
 func (d *Deployment) Process(name string) *Process {
 	d.mu.Lock()
@@ -351,6 +360,12 @@
 // Thaw lets a frozen process run again.
 func (p *Process) Thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
 
+// Hangup asks the process to read its key files again.
+func (p *Process) Hangup() { _ = p.cmd.Process.Signal(syscall.SIGHUP) }
+
+// Terminate asks for a planned stop without waiting for it.
+func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
+
 // Stop asks for a planned stop and waits for it.
 func (p *Process) Stop() error {
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
--- a/internal/front/administrator/administrator.go
+++ b/internal/front/administrator/administrator.go
@@ -33,8 +33,9 @@
 
 // Administrator serves the API. The exported fields are set before Run.
 type Administrator struct {
-	Address  netip.AddrPort
-	TLS      *tls.Config
+	Address netip.AddrPort
+	// TLS returns the configuration for a new connection.
+	TLS      func() *tls.Config
 	Log      Log
 	Ledger   *planner.Ledger
 	Leaser   *leaser.Leaser
@@ -43,8 +44,10 @@
 
 // Run serves requests until ctx ends.
 func (a *Administrator) Run(ctx context.Context) error {
-	server := &http.Server{Handler: a.Handler(), TLSConfig: a.TLS, ReadHeaderTimeout: headerTimeout}
-	ln, err := tls.Listen("tcp", a.Address.String(), a.TLS)
+	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: headerTimeout}
+	ln, err := tls.Listen("tcp", a.Address.String(), &tls.Config{
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return a.TLS(), nil },
+	})
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", a.Address)
 	}
--- a/internal/front/connector/client.go
+++ b/internal/front/connector/client.go
@@ -22,7 +22,8 @@
 // Client calls one machine and keeps the connection open between calls. The exported fields are set before first use.
 type Client struct {
 	Address netip.AddrPort
-	TLS     *tls.Config
+	// TLS returns the configuration for a new connection.
+	TLS func() *tls.Config
 
 	// mu is held during a call, because a drpc connection carries one call at a time.
 	mu   sync.Mutex
@@ -38,7 +39,7 @@
 			return c.conn, nil
 		}
 	}
-	d := tls.Dialer{Config: c.TLS}
+	d := tls.Dialer{Config: c.TLS()}
 	raw, err := d.DialContext(ctx, "tcp", c.Address.String())
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", c.Address)
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -21,7 +21,8 @@
 // Server takes calls of other machines. The exported fields are set before Run.
 type Server struct {
 	Address netip.AddrPort
-	TLS     *tls.Config
+	// TLS returns the configuration for a new connection.
+	TLS func() *tls.Config
 	// Heartbeats answers the heartbeats of nodes; nil on machines that do not.
 	Heartbeats HeartbeatHandler
 }
@@ -39,8 +40,11 @@
 			return eris.Wrap(err, "register control service")
 		}
 	}
-	cfg := s.TLS.Clone()
-	cfg.VerifyConnection = verifyMachine
+	cfg := &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		next := s.TLS()
+		next.VerifyConnection = verifyMachine
+		return next, nil
+	}}
 	ln, err := tls.Listen("tcp", s.Address.String(), cfg)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Address)
--- a/internal/front/listener/listener.go
+++ b/internal/front/listener/listener.go
@@ -34,7 +34,7 @@
 type Listener struct {
 	Decider Decider
 	Counter *counter.Counter
-	Key     encoder.Key
+	Keys    *encoder.Keyring
 	// DataAddress is the address of the socket for agents.
 	DataAddress netip.AddrPort
 	// AddressMap gives the local address to bind for a service address.
@@ -124,14 +124,14 @@
 	if reason != carrier.Passed {
 		return
 	}
-	sc.out = encoder.AppendDatagram(sc.out[:0], l.Key, &sc.header, payload)
+	sc.out = l.Keys.Append(sc.out[:0], &sc.header, payload)
 	l.data.send(to, sc.out)
 }
 
 func (l *Listener) fromAgent(_ netip.AddrPort, datagram []byte) {
 	sc := l.scratch.Get().(*scratch)
 	defer l.scratch.Put(sc)
-	payload, err := encoder.ParseDatagram(datagram, l.Key, &sc.header)
+	payload, err := l.Keys.Parse(datagram, &sc.header)
 	if err != nil {
 		l.Counter.Drop(carrier.DropBadSeal)
 		return
--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -41,7 +41,7 @@
 type Responder struct {
 	Tracker     *tracker.Tracker
 	Counter     *counter.Counter
-	Key         encoder.Key
+	Keys        *encoder.Keyring
 	Stamper     *stamper.Stamper
 	ResetKey    [32]byte
 	DataAddress netip.AddrPort
@@ -107,7 +107,7 @@
 		if err != nil {
 			continue
 		}
-		payload, err := encoder.ParseDatagram(b[:n], r.Key, &h)
+		payload, err := r.Keys.Parse(b[:n], &h)
 		if err != nil {
 			r.Counter.Drop(carrier.DropBadSeal)
 			continue
@@ -118,7 +118,7 @@
 		case tracker.Deliver:
 			r.deliver(h.Flow, payload)
 		case tracker.PassOn:
-			out = encoder.AppendDatagram(out[:0], r.Key, &v.Header, payload)
+			out = r.Keys.Append(out[:0], &v.Header, payload)
 			_, _ = r.udp.WriteToUDPAddrPort(out, v.To)
 		}
 	}
@@ -145,7 +145,7 @@
 		r.Counter.Drop(carrier.DropUnknownFlow)
 		return
 	}
-	out := encoder.AppendDatagram(make([]byte, 0, encoder.HeaderSize+len(payload)), r.Key, &h, payload)
+	out := r.Keys.Append(make([]byte, 0, encoder.HeaderSize+len(payload)), &h, payload)
 	_, _ = r.udp.WriteToUDPAddrPort(out, h.Entry)
 }
 
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -17,6 +17,8 @@
 	MachineStarted   = Event{1001, "machine started"}
 	MachineStopped   = Event{1002, "machine stopped"}
 	MachineFailed    = Event{1003, "machine failed"}
+	KeysReloaded     = Event{1101, "key files read again"}
+	ReloadFailed     = Event{1102, "cannot read key files again"}
 	HeartbeatFailed  = Event{2001, "heartbeat failed"}
 	RevisionEnforced = Event{2002, "revision enforced"}
 	AnnounceRefused  = Event{2003, "announcement refused"}
--- a/internal/route/stamper/stamper.go
+++ b/internal/route/stamper/stamper.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"sync/atomic"
 
 	"github.com/dchest/siphash"
 	"github.com/rotisserie/eris"
@@ -33,18 +34,31 @@
 	K0, K1 uint64
 }
 
-// Stamper issues and verifies connection ids. It is immutable.
+// Stamper issues and verifies connection ids. The exported fields are set before first use.
 type Stamper struct {
-	// Keys are all keys that verify; the first one issues.
+	// Keys are all keys that verify until Rotate; the first one issues.
 	Keys []Key
+
+	rotated atomic.Pointer[[]Key]
+}
+
+// Rotate replaces the keys. Ids that were issued with a key that is no longer among them are not verified any more.
+func (s *Stamper) Rotate(keys []Key) { s.rotated.Store(&keys) }
+
+func (s *Stamper) keys() []Key {
+	if keys := s.rotated.Load(); keys != nil {
+		return *keys
+	}
+	return s.Keys
 }
 
 // Stamp writes a connection id for an upstream into id, which must hold Size bytes.
 func (s *Stamper) Stamp(id []byte, u registrar.UpstreamID, nonce uint64) error {
-	if len(s.Keys) == 0 {
+	keys := s.keys()
+	if len(keys) == 0 {
 		return ErrNoKey
 	}
-	k := s.Keys[0]
+	k := keys[0]
 	var n [8]byte
 	binary.BigEndian.PutUint64(n[:], nonce)
 	id[0] = byte(k.ID)
@@ -60,7 +74,7 @@
 	if len(id) != Size {
 		return 0, false
 	}
-	for _, k := range s.Keys {
+	for _, k := range s.keys() {
 		if byte(k.ID) != id[0] {
 			continue
 		}
--- a/internal/secret/issuer/issuer.go
+++ b/internal/secret/issuer/issuer.go
@@ -35,6 +35,8 @@
 	Folder string
 	// ExpireAt is when issued certificates expire.
 	ExpireAt time.Time
+	// Renew lets Issue replace the files of an earlier certificate.
+	Renew bool
 }
 
 // Init creates the authority and the data key. It fails if the folder holds them already.
@@ -59,11 +61,19 @@
 	if err := s.writePair(AuthorityFile, authorityKey, der, key); err != nil {
 		return err
 	}
+	data, err := newDataKey()
+	if err != nil {
+		return err
+	}
+	return s.write(DataKeyFile, []byte(data+"\n"))
+}
+
+func newDataKey() (string, error) {
 	data := make([]byte, loader.DataKeySize)
 	if _, err := rand.Read(data); err != nil {
-		return eris.Wrap(err, "create data key")
+		return "", eris.Wrap(err, "create data key")
 	}
-	return s.write(DataKeyFile, []byte(hex.EncodeToString(data)+"\n"))
+	return hex.EncodeToString(data), nil
 }
 
 // Issue creates NAME.pem and NAME.key for the given kind of holder.
@@ -143,6 +153,9 @@
 }
 
 func (s *Issuer) write(name string, b []byte) error {
+	if s.Renew {
+		return s.replace(name, b)
+	}
 	f, err := os.OpenFile(filepath.Join(s.Folder, name), os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
 	if err != nil {
 		return eris.Wrap(err, "create key file")
--- a/internal/secret/loader/loader.go
+++ b/internal/secret/loader/loader.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
@@ -41,72 +42,150 @@
 	return subject.CommonName, slices.Contains(subject.OrganizationalUnit, string(kind))
 }
 
-// DataKeySize is the length in bytes of the data key. The file holds it in hexadecimal.
+// DataKeySize is the length of a data key in bytes. The file holds one key a line in hexadecimal.
 const DataKeySize = 32
 
-// Material is the key material of one machine.
+// maxDataKeys bounds the keys in a data key file, since each of them is tried on a datagram that does not verify.
+const maxDataKeys = 4
+
+// Material is the key material of one machine. Its methods return what the files held when they were last read.
 type Material struct {
-	// Server accepts only peers with a certificate of the authority; Client presents the machine's certificate.
-	Server *tls.Config
-	Client *tls.Config
+	files parser.Keys
 	// Data authenticates datagrams between machines.
-	Data encoder.Key
-	// ConnectionIDs are the keys of connection ids.
-	ConnectionIDs []stamper.Key
-	// ResetKey is the key of QUIC stateless resets.
+	Data *encoder.Keyring
+	// Stamper issues and verifies connection ids.
+	Stamper *stamper.Stamper
+	// ResetKey is the key of QUIC stateless resets. It comes from the first data key and stays until a restart, because
+	// resets are for connections of an earlier process.
 	ResetKey [32]byte
+
+	identity atomic.Pointer[identity]
+}
+
+// identity is what a machine shows to peers and asks of them.
+type identity struct {
+	certificate tls.Certificate
+	authorities *x509.CertPool
+}
+
+// dataKeys are the keys that derive from a data key file.
+type dataKeys struct {
+	datagram      []encoder.Key
+	connectionIDs []stamper.Key
+	reset         [32]byte
 }
 
 // Load reads the files that the settings name.
-func Load(keys parser.Keys) (*Material, error) {
-	pair, err := tls.LoadX509KeyPair(keys.Certificate, keys.PrivateKey)
+func Load(files parser.Keys) (*Material, error) {
+	m := &Material{files: files, Data: &encoder.Keyring{}, Stamper: &stamper.Stamper{}}
+	d, err := m.read()
+	m.ResetKey = d.reset
+	return m, err
+}
+
+// Reload reads all files again. If one of them is not acceptable, everything stays as it was.
+func (m *Material) Reload() error {
+	_, err := m.read()
+	return err
+}
+
+func (m *Material) read() (dataKeys, error) {
+	id, err := readIdentity(m.files)
 	if err != nil {
-		return nil, eris.Wrapf(ErrInvalid, "certificate_file %s, private_key_file %s: %v", keys.Certificate, keys.PrivateKey, err)
+		return dataKeys{}, err
 	}
-	pem, err := os.ReadFile(keys.Authority)
+	var d dataKeys
+	if m.files.Data != "" {
+		if d, err = readDataKeys(m.files.Data); err != nil {
+			return dataKeys{}, err
+		}
+		m.Data.Replace(d.datagram)
+		m.Stamper.Rotate(d.connectionIDs)
+	}
+	m.identity.Store(id)
+	return d, nil
+}
+
+// Server returns a configuration that accepts only peers with a certificate of an authority.
+func (m *Material) Server() *tls.Config {
+	id := m.identity.Load()
+	return &tls.Config{
+		Certificates: []tls.Certificate{id.certificate}, ClientCAs: id.authorities,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+		// A session would outlive the authority that vouched for its peer.
+		SessionTicketsDisabled: true,
+	}
+}
+
+// Client returns a configuration that presents the machine's certificate.
+func (m *Material) Client() *tls.Config {
+	id := m.identity.Load()
+	return &tls.Config{
+		Certificates: []tls.Certificate{id.certificate}, RootCAs: id.authorities, MinVersion: tls.VersionTLS13,
+	}
+}
+
+func readIdentity(files parser.Keys) (*identity, error) {
+	pair, err := tls.LoadX509KeyPair(files.Certificate, files.PrivateKey)
+	if err != nil {
+		return nil, eris.Wrapf(ErrInvalid, "certificate_file %s, private_key_file %s: %v", files.Certificate, files.PrivateKey, err)
+	}
+	pem, err := os.ReadFile(files.Authority)
 	if err != nil {
 		return nil, eris.Wrap(err, "authority_file")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, eris.Wrapf(ErrInvalid, "authority_file %s holds no certificate", keys.Authority)
-	}
-	m := &Material{
-		Server: &tls.Config{
-			Certificates: []tls.Certificate{pair}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
-			MinVersion: tls.VersionTLS13,
-		},
-		Client: &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: pool, MinVersion: tls.VersionTLS13},
+		return nil, eris.Wrapf(ErrInvalid, "authority_file %s holds no certificate", files.Authority)
 	}
-	if keys.Data == "" {
-		return m, nil
-	}
-	return m, m.loadDataKey(keys.Data)
+	return &identity{certificate: pair, authorities: pool}, nil
 }
 
-func (m *Material) loadDataKey(path string) error {
+func readDataKeys(path string) (dataKeys, error) {
+	var d dataKeys
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return eris.Wrap(err, "data_key_file")
+		return d, eris.Wrap(err, "data_key_file")
+	}
+	lines := strings.Fields(string(b))
+	if len(lines) < 1 || len(lines) > maxDataKeys {
+		return d, eris.Wrapf(ErrInvalid, "data_key_file %s: %d lines, want 1 to %d", path, len(lines), maxDataKeys)
 	}
-	key, err := hex.DecodeString(strings.TrimSpace(string(b)))
-	if err != nil || len(key) != DataKeySize {
-		return eris.Wrapf(ErrInvalid, "data_key_file %s: want %d bytes in hexadecimal", path, DataKeySize)
+	for i, line := range lines {
+		key, err := hex.DecodeString(line)
+		if err != nil || len(key) != DataKeySize {
+			return d, eris.Wrapf(ErrInvalid, "data_key_file %s: line %d: want %d bytes in hexadecimal", path, i+1, DataKeySize)
+		}
+		if err := d.add(key); err != nil {
+			return d, err
+		}
 	}
+	return d, nil
+}
+
+// add derives the keys of one data key.
+func (d *dataKeys) add(key []byte) error {
 	k0, k1, err := derive(key, "peridotstage datagram")
 	if err != nil {
 		return err
 	}
-	m.Data = encoder.Key{K0: k0, K1: k1}
+	d.datagram = append(d.datagram, encoder.Key{K0: k0, K1: k1})
 	if k0, k1, err = derive(key, "peridotstage connection id"); err != nil {
 		return err
 	}
-	m.ConnectionIDs = []stamper.Key{{K0: k0, K1: k1}}
-	reset, err := hkdf.Key(sha256.New, key, nil, "peridotstage stateless reset", len(m.ResetKey))
+	id, err := hkdf.Key(sha256.New, key, nil, "peridotstage connection id key id", 1)
+	if err != nil {
+		return eris.Wrap(err, "derive key id")
+	}
+	d.connectionIDs = append(d.connectionIDs, stamper.Key{ID: stamper.KeyID(id[0]), K0: k0, K1: k1})
+	if len(d.datagram) > 1 {
+		return nil
+	}
+	reset, err := hkdf.Key(sha256.New, key, nil, "peridotstage stateless reset", len(d.reset))
 	if err != nil {
 		return eris.Wrap(err, "derive reset key")
 	}
-	copy(m.ResetKey[:], reset)
+	copy(d.reset[:], reset)
 	return nil
 }
 
--- /dev/null
+++ b/internal/secret/loader/pair.go
@@ -0,0 +1,33 @@
+package loader
+
+import (
+	"crypto/tls"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// Pair is a certificate with its private key, for example that of a service.
+type Pair struct {
+	certificateFile, keyFile string
+	current                  atomic.Pointer[tls.Certificate]
+}
+
+// LoadPair reads a certificate and its private key.
+func LoadPair(certificateFile, keyFile string) (*Pair, error) {
+	p := &Pair{certificateFile: certificateFile, keyFile: keyFile}
+	return p, p.Reload()
+}
+
+// Reload reads the files again. If they are not acceptable, the pair stays as it was.
+func (p *Pair) Reload() error {
+	c, err := tls.LoadX509KeyPair(p.certificateFile, p.keyFile)
+	if err != nil {
+		return eris.Wrapf(ErrInvalid, "certificate %s, private key %s: %v", p.certificateFile, p.keyFile, err)
+	}
+	p.current.Store(&c)
+	return nil
+}
+
+// Get returns the certificate for a new connection.
+func (p *Pair) Get(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.current.Load(), nil }
--- a/internal/wire/encoder/datagram.go
+++ b/internal/wire/encoder/datagram.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/dchest/siphash"
 	"github.com/rotisserie/eris"
@@ -61,8 +62,37 @@
 	binary.BigEndian.PutUint64(d[tagAt+8:], h1)
 }
 
+// Keyring holds the keys that are valid at the same time while keys rotate. All of them verify; the first one seals.
+type Keyring struct {
+	keys atomic.Pointer[[]Key]
+}
+
+// NewKeyring returns a ring with the given keys.
+func NewKeyring(keys ...Key) *Keyring {
+	r := &Keyring{}
+	r.Replace(keys)
+	return r
+}
+
+// Replace puts other keys into the ring.
+func (r *Keyring) Replace(keys []Key) { r.keys.Store(&keys) }
+
+// Append appends the header, sealed with the first key, and the payload to b.
+func (r *Keyring) Append(b []byte, h *carrier.Header, payload []byte) []byte {
+	return AppendDatagram(b, (*r.keys.Load())[0], h, payload)
+}
+
+// Parse is ParseDatagram with any of the keys.
+func (r *Keyring) Parse(d []byte, h *carrier.Header) ([]byte, error) {
+	return parse(d, *r.keys.Load(), h)
+}
+
 // ParseDatagram verifies a datagram, fills h and returns the payload, which is a part of d. It zeroes the tag in d.
 func ParseDatagram(d []byte, k Key, h *carrier.Header) ([]byte, error) {
+	return parse(d, []Key{k}, h)
+}
+
+func parse(d []byte, keys []Key, h *carrier.Header) ([]byte, error) {
 	if len(d) < HeaderSize {
 		return nil, ErrShort
 	}
@@ -72,8 +102,7 @@
 	t0 := binary.BigEndian.Uint64(d[tagAt:])
 	t1 := binary.BigEndian.Uint64(d[tagAt+8:])
 	clear(d[tagAt:HeaderSize])
-	h0, h1 := siphash.Hash128(k.K0, k.K1, d)
-	if (h0^t0)|(h1^t1) != 0 {
+	if !verify(d, keys, t0, t1) {
 		return nil, ErrTag
 	}
 	h.Kind, h.Hops, h.Flags = carrier.Kind(d[1]), d[2], carrier.Flags(d[3])
@@ -86,6 +115,16 @@
 	return d[HeaderSize:], nil
 }
 
+// verify reports whether one of the keys yields the tag t0, t1.
+func verify(d []byte, keys []Key, t0, t1 uint64) bool {
+	for _, k := range keys {
+		if h0, h1 := siphash.Hash128(k.K0, k.K1, d); (h0^t0)|(h1^t1) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func appendAddrPort(b []byte, a netip.AddrPort) []byte {
 	ip := a.Addr().As16()
 	b = append(b, ip[:]...)
