--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -17,6 +17,8 @@
 	MachineStarted   = Event{1001, "machine started"}
 	MachineStopped   = Event{1002, "machine stopped"}
 	MachineFailed    = Event{1003, "machine failed"}
+	KeysReloaded     = Event{1101, "key files read again"}
+	ReloadFailed     = Event{1102, "cannot read key files again"}
 	HeartbeatFailed  = Event{2001, "heartbeat failed"}
 	RevisionEnforced = Event{2002, "revision enforced"}
 	AnnounceRefused  = Event{2003, "announcement refused"}
@@ -58,5 +60,6 @@
 	r.log.Error(e.Message, append(fields, zap.Int("event", e.Number))...)
 }
 
-// Err is the field for an error.
-func Err(err error) zap.Field { return zap.Error(err) }
+// Err is the field for an error. It holds the message without the stack that eris adds, which would be repeated with each
+// failed heartbeat.
+func Err(err error) zap.Field { return zap.String("error", err.Error()) }
