--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/local.go
@@ -1,4 +1,3 @@
-// Package replicator keeps the log of the control instances.
 package replicator
 
 import (
--- /dev/null
+++ b/internal/control/replicator/progress.go
@@ -0,0 +1,42 @@
+package replicator
+
+import (
+	"sync"
+	"time"
+)
+
+// Progress is what a leader knows about one peer, under its own lock.
+type Progress struct {
+	mu sync.Mutex
+	// match is the newest index known to be durable at the peer; next is the index to send next.
+	match, next Index
+	// commit is the commit index that was sent last.
+	commit Index
+	// heardAt is when the peer answered last.
+	heardAt time.Time
+	// readAt is the newest clock reading of the peer.
+	readAt Reading
+	// sending is the snapshot on its way to the peer, or nil.
+	sending *transfer
+}
+
+// transfer is the state of a snapshot on its way.
+type transfer struct {
+	snapshot Snapshot
+	received int
+	// sentAt is when the chunk after received was sent.
+	sentAt time.Time
+}
+
+// ProgressStatus is a copy for reports.
+type ProgressStatus struct {
+	Match   Index
+	HeardAt time.Time
+}
+
+// Status returns a copy for reports.
+func (p *Progress) Status() ProgressStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return ProgressStatus{Match: p.match, HeardAt: p.heardAt}
+}
