--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -49,7 +49,7 @@
 	counts := &counter.Counter{}
 	ids := &stamper.Stamper{Keys: keys.ConnectionIDs}
 	t := &tracker.Tracker{
-		Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
+		Machine: cfg.Name, Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
 		Stamper: ids,
 	}
 	r := &responder.Responder{
@@ -58,7 +58,7 @@
 		Handler:     &responder.Passer{Upstream: cfg.UpstreamAddress, Transport: &http.Transport{}},
 		Upstream:    cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
 	}
-	var draining atomic.Bool
+	var draining, stopped atomic.Bool
 	n.subscriber.Enforcers = []subscriber.Enforcer{t, r}
 	n.describe = func(h *leaser.Heartbeat) {
 		h.Evidence = counts.Evidence()
@@ -67,6 +67,9 @@
 			Weight:     registrar.Weight(cfg.Slots) * registrar.WeightPerSlot,
 			OldestFlow: t.Stats().Oldest, Draining: draining.Load(),
 		}
+		if stopped.Load() {
+			h.Announcement.OldestFlow = 0
+		}
 	}
 	if err := r.Run(); err != nil {
 		return err
@@ -74,7 +77,7 @@
 	// Heartbeats continue while the agent drains, because its lease must stay valid.
 	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
-	g.run(func(ctx context.Context) error { return expireFlows(ctx, t) })
+	g.run(func(ctx context.Context) error { return expireFlows(ctx, t, r) })
 	rec.Info(recorder.MachineStarted)
 	select {
 	case <-ctx.Done():
@@ -86,12 +89,15 @@
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTime)
 	defer cancel()
 	err = r.Shutdown(drain)
+	// Control learns that no flows are left here, so that chains leave this agent out at once.
+	stopped.Store(true)
+	n.lastHeartbeat(drain)
 	g.cancel(nil)
 	_ = g.wait()
 	return eris.Wrap(err, "drain")
 }
 
-func expireFlows(ctx context.Context, t *tracker.Tracker) error {
+func expireFlows(ctx context.Context, t *tracker.Tracker, r *responder.Responder) error {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
@@ -100,6 +106,7 @@
 			return nil
 		case now := <-ticker.C:
 			t.Expire(now)
+			r.Notify()
 		}
 	}
 }
--- a/internal/cli/runner/node.go
+++ b/internal/cli/runner/node.go
@@ -118,6 +118,15 @@
 	}
 }
 
+// lastHeartbeat reports the end of the machine to the first control instance that answers.
+func (n *node) lastHeartbeat(ctx context.Context) {
+	for _, c := range n.clients {
+		if n.heartbeat(ctx, c) == nil {
+			return
+		}
+	}
+}
+
 func (n *node) heartbeat(ctx context.Context, c *connector.Client) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -126,7 +126,8 @@
 	next := old
 	next.Name, next.Service, next.Zone, next.Machine = a.Upstream, a.Service, h.Machine.Zone, h.Machine.Name
 	next.Slots = a.Slots
-	next.Silent = a.Draining
+	// A draining agent without flows is as good as gone: chains need not pass through it any more.
+	next.Draining, next.Silent = a.Draining, a.Draining && a.OldestFlow == 0
 	if !had || weightMoved(old.Weight, a.Weight) {
 		next.Weight = a.Weight
 	}
--- a/internal/front/listener/listener.go
+++ b/internal/front/listener/listener.go
@@ -4,7 +4,9 @@
 
 import (
 	"net/netip"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -24,6 +26,9 @@
 // readBatch is the number of datagrams read from one socket before the poller looks at the others.
 const readBatch = 64
 
+// maxSockets bounds the sockets that share one address unless settings ask for more. Each socket has kernel buffers.
+const maxSockets = 4
+
 // Decider decides about datagrams.
 type Decider interface {
 	FromCaller(now time.Time, f registrar.Flow, payload []byte, h *carrier.Header) (netip.AddrPort, carrier.DropReason)
@@ -42,39 +47,51 @@
 	Recorder   *recorder.Recorder
 	// Newer is called with each revision that an agent's datagram carries.
 	Newer func(registrar.Revision)
+	// Sockets is the number of sockets that share each address, and the number of pollers; 0 selects one for each
+	// processor, at most maxSockets.
+	Sockets int
 
 	engine *nbio.Engine
-	data   *socket
-	// mu guards services. It is held for reading while an answer is sent.
-	mu       sync.RWMutex
-	services map[netip.AddrPort]*socket
+	data   []*socket
+	// updateMu orders updates. Datagrams only load services, whose map is replaced and never changed.
+	updateMu sync.Mutex
+	services atomic.Pointer[map[netip.AddrPort][]*socket]
 	scratch  sync.Pool
 }
 
 // scratch holds the memory for one datagram in progress.
 type scratch struct {
 	header carrier.Header
-	out    []byte
+	// buffer has room for a header in front of the datagram of n bytes, so that sealing does not copy the payload.
+	buffer []byte
+	n      int
 }
 
-// Run opens the socket for agents and starts polling. Stop ends it.
+func (sc *scratch) datagram() []byte { return sc.buffer[encoder.HeaderSize:][:sc.n] }
+
+// Run opens the sockets for agents and starts polling. Stop ends it.
 func (l *Listener) Run() error {
-	l.scratch.New = func() any { return &scratch{out: make([]byte, 0, maxDatagram)} }
-	l.services = map[netip.AddrPort]*socket{}
-	l.engine = nbio.NewEngine(nbio.Config{Name: "entry"})
+	if l.Sockets == 0 {
+		l.Sockets = min(runtime.GOMAXPROCS(0), maxSockets)
+	}
+	l.scratch.New = func() any { return &scratch{buffer: make([]byte, encoder.HeaderSize+maxDatagram)} }
+	l.services.Store(&map[netip.AddrPort][]*socket{})
+	l.engine = nbio.NewEngine(nbio.Config{Name: "entry", NPoller: l.Sockets})
 	l.engine.OnRead(func(c *nbio.Conn) {
 		if s, ok := c.Session().(*socket); ok {
-			s.drain(readBatch)
+			sc := l.scratch.Get().(*scratch)
+			s.drain(readBatch, sc)
+			l.scratch.Put(sc)
 		}
 	})
 	if err := l.engine.Start(); err != nil {
 		return eris.Wrap(err, "start poller")
 	}
-	s, err := openSocket(l.engine, l.DataAddress, l.fromAgent)
+	data, err := openSockets(l.engine, l.Sockets, l.DataAddress, l.fromAgent)
 	if err != nil {
 		return err
 	}
-	l.data = s
+	l.data = data
 	return nil
 }
 
@@ -83,55 +100,51 @@
 
 // Update opens sockets for new services and closes those of removed ones.
 func (l *Listener) Update(w *registrar.World) {
-	live := map[netip.AddrPort]bool{}
+	l.updateMu.Lock()
+	defer l.updateMu.Unlock()
+	before := *l.services.Load()
+	after := map[netip.AddrPort][]*socket{}
 	for _, s := range w.Services() {
-		live[s.Address] = true
-		l.open(s.Address)
+		if after[s.Address] = before[s.Address]; after[s.Address] == nil {
+			after[s.Address] = l.open(s.Address)
+		}
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for a, s := range l.services {
-		if !live[a] {
-			s.close()
-			delete(l.services, a)
+	l.services.Store(&after)
+	for a, sockets := range before {
+		if after[a] == nil {
+			closeAll(sockets)
 		}
 	}
 }
 
-func (l *Listener) open(service netip.AddrPort) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.services[service] != nil {
-		return
-	}
+// open returns no sockets if the address cannot be bound; the next update tries again.
+func (l *Listener) open(service netip.AddrPort) []*socket {
 	local := service
 	if mapped, ok := l.AddressMap[service.Addr()]; ok {
 		local = netip.AddrPortFrom(mapped, service.Port())
 	}
-	s, err := openSocket(l.engine, local, func(from netip.AddrPort, payload []byte) { l.fromCaller(from, service, payload) })
+	sockets, err := openSockets(l.engine, l.Sockets, local, func(from netip.AddrPort, sc *scratch) {
+		l.fromCaller(registrar.Flow{Caller: from, Service: service}, sc)
+	})
 	if err != nil {
 		l.Recorder.Error(recorder.ListenFailed, zap.Stringer("service_address", service), zap.Error(err))
-		return
 	}
-	l.services[service] = s
+	return sockets
 }
 
-func (l *Listener) fromCaller(from, service netip.AddrPort, payload []byte) {
-	sc := l.scratch.Get().(*scratch)
-	defer l.scratch.Put(sc)
-	flow := registrar.Flow{Caller: from, Service: service}
+func (l *Listener) fromCaller(flow registrar.Flow, sc *scratch) {
+	payload := sc.datagram()
 	to, reason := l.Decider.FromCaller(time.Now(), flow, payload, &sc.header)
 	if reason != carrier.Passed {
 		return
 	}
-	sc.out = encoder.AppendDatagram(sc.out[:0], l.Key, &sc.header, payload)
-	l.data.send(to, sc.out)
+	// The payload already lies behind the room for the header.
+	sealed := encoder.AppendDatagram(sc.buffer[:0], l.Key, &sc.header, payload)
+	l.data[int(flow.Caller.Port())%len(l.data)].send(to, sealed)
 }
 
-func (l *Listener) fromAgent(_ netip.AddrPort, datagram []byte) {
-	sc := l.scratch.Get().(*scratch)
-	defer l.scratch.Put(sc)
-	payload, err := encoder.ParseDatagram(datagram, l.Key, &sc.header)
+func (l *Listener) fromAgent(_ netip.AddrPort, sc *scratch) {
+	payload, err := encoder.ParseDatagram(sc.datagram(), l.Key, &sc.header)
 	if err != nil {
 		l.Counter.Drop(carrier.DropBadSeal)
 		return
@@ -140,9 +153,8 @@
 	if l.Decider.FromAgent(time.Now(), &sc.header) != carrier.Passed {
 		return
 	}
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	if s := l.services[sc.header.Flow.Service]; s != nil {
-		s.send(sc.header.Flow.Caller, payload)
+	flow := sc.header.Flow
+	if sockets := (*l.services.Load())[flow.Service]; len(sockets) > 0 {
+		sockets[int(flow.Caller.Port())%len(sockets)].send(flow.Caller, payload)
 	}
 }
--- a/internal/front/listener/socket.go
+++ b/internal/front/listener/socket.go
@@ -1,14 +1,18 @@
 package listener
 
 import (
+	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"syscall"
 	"unsafe"
 
 	"github.com/lesismal/nbio"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"github.com/peridotstage/peridotstage/internal/wire/encoder"
 )
 
 // socketBuffer is the size in bytes asked of the kernel for each direction of a socket. The default of about 200 KiB
@@ -22,16 +26,53 @@
 	isIPv6  bool
 	local   netip.AddrPort
 	conn    *nbio.Conn
-	receive func(from netip.AddrPort, payload []byte)
-	// buffer is used only by the poller that the socket belongs to.
-	buffer []byte
+	receive receiver
+	// mu is held for reading during a send, so that the descriptor is not closed and reused in the middle of it.
+	mu     sync.RWMutex
+	closed bool
 }
 
-func openSocket(e *nbio.Engine, local netip.AddrPort, receive func(netip.AddrPort, []byte)) (*socket, error) {
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
+// receiver takes the datagram that a scratch holds.
+type receiver func(from netip.AddrPort, sc *scratch)
+
+// reusePort lets several sockets share one address. The kernel spreads the datagrams over them by source address.
+var reusePort = net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}}
+
+// openSockets opens n sockets that share one address, or none.
+func openSockets(e *nbio.Engine, n int, local netip.AddrPort, receive receiver) ([]*socket, error) {
+	var all []*socket
+	for range n {
+		s, err := openSocket(e, local, receive)
+		if err != nil {
+			closeAll(all)
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+func closeAll(all []*socket) {
+	for _, s := range all {
+		s.close()
+	}
+}
+
+func openSocket(e *nbio.Engine, local netip.AddrPort, receive receiver) (*socket, error) {
+	packets, err := reusePort.ListenPacket(context.Background(), "udp", local.String())
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", local)
 	}
+	udp := packets.(*net.UDPConn)
 	// The kernel may grant less; a smaller buffer costs only loss under bursts.
 	_ = udp.SetReadBuffer(socketBuffer)
 	_ = udp.SetWriteBuffer(socketBuffer)
@@ -42,7 +83,6 @@
 	}
 	s := &socket{
 		isIPv6: local.Addr().Is6() && !local.Addr().Is4In6(), local: local, conn: conn, receive: receive,
-		buffer: make([]byte, maxDatagram),
 	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
@@ -61,15 +101,21 @@
 	return s, nil
 }
 
-func (s *socket) close() { _ = s.conn.Close() }
+func (s *socket) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_ = s.conn.Close()
+}
 
 // drain reads up to limit datagrams. The poller calls it again if more are waiting.
-func (s *socket) drain(limit int) {
+func (s *socket) drain(limit int, sc *scratch) {
+	in := sc.buffer[encoder.HeaderSize:]
 	for range limit {
 		var from unix.RawSockaddrInet6
 		size := uint32(unsafe.Sizeof(from))
 		n, _, errno := syscall.RawSyscall6(unix.SYS_RECVFROM, uintptr(s.fd),
-			uintptr(unsafe.Pointer(unsafe.SliceData(s.buffer))), uintptr(len(s.buffer)), unix.MSG_DONTWAIT,
+			uintptr(unsafe.Pointer(unsafe.SliceData(in))), uintptr(len(in)), unix.MSG_DONTWAIT,
 			uintptr(unsafe.Pointer(&from)), uintptr(unsafe.Pointer(&size)))
 		if errno == unix.EINTR {
 			continue
@@ -77,7 +123,8 @@
 		if errno != 0 {
 			return
 		}
-		s.receive(addrPort(&from), s.buffer[:n])
+		sc.n = int(n)
+		s.receive(addrPort(&from), sc)
 	}
 }
 
@@ -95,6 +142,11 @@
 	if len(payload) == 0 || !to.IsValid() {
 		return
 	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.closed {
+		return
+	}
 	port := to.Port()<<8 | to.Port()>>8
 	if !s.isIPv6 {
 		sa := unix.RawSockaddrInet4{Family: unix.AF_INET, Port: port, Addr: to.Addr().Unmap().As4()}
--- a/internal/front/responder/connections.go
+++ b/internal/front/responder/connections.go
@@ -18,16 +18,16 @@
 // connections is the set of open QUIC connections. The zero value is ready for use.
 type connections struct {
 	mu   sync.Mutex
-	open map[*quic.Conn]struct{}
+	open map[*quic.Conn]*silence
 }
 
 func (s *connections) add(c *quic.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open == nil {
-		s.open = map[*quic.Conn]struct{}{}
+		s.open = map[*quic.Conn]*silence{}
 	}
-	s.open[c] = struct{}{}
+	s.open[c] = &silence{}
 }
 
 func (s *connections) remove(c *quic.Conn) {
@@ -68,14 +68,14 @@
 // idGenerator issues connection ids that name the agent's upstream.
 type idGenerator struct {
 	stamper  *stamper.Stamper
-	upstream registrar.UpstreamID
+	upstream *atomic.Uint32
 	nonce    *nonceSource
 }
 
 // GenerateConnectionID returns a new connection id.
 func (g *idGenerator) GenerateConnectionID() (quic.ConnectionID, error) {
 	var b [stamper.Size]byte
-	if err := g.stamper.Stamp(b[:], g.upstream, g.nonce.next.Add(1)); err != nil {
+	if err := g.stamper.Stamp(b[:], registrar.UpstreamID(g.upstream.Load()), g.nonce.next.Add(1)); err != nil {
 		return quic.ConnectionID{}, err
 	}
 	return quic.ConnectionIDFromBytes(b[:]), nil
--- a/internal/front/responder/relay.go
+++ b/internal/front/responder/relay.go
@@ -1,13 +1,16 @@
 package responder
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
-	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // relayIdle closes the socket of a plain UDP flow after this time without an answer of the upstream.
@@ -19,47 +22,88 @@
 	answer   func(caller netip.AddrPort, payload []byte)
 	tracker  *tracker.Tracker
 
-	mu    sync.Mutex
-	flows map[netip.AddrPort]*net.UDPConn
+	buffers sync.Pool
+	mu      sync.Mutex
+	flows   map[netip.AddrPort]*net.UDPConn
 }
 
 func newRelay(upstream netip.AddrPort, answer func(netip.AddrPort, []byte), t *tracker.Tracker) *relay {
-	return &relay{upstream: upstream, answer: answer, tracker: t, flows: map[netip.AddrPort]*net.UDPConn{}}
+	r := &relay{upstream: upstream, answer: answer, tracker: t, flows: map[netip.AddrPort]*net.UDPConn{}}
+	r.buffers.New = func() any { b := make([]byte, maxDatagram); return &b }
+	return r
 }
 
 func (r *relay) deliver(caller netip.AddrPort, payload []byte) {
 	r.mu.Lock()
 	conn := r.flows[caller]
+	r.mu.Unlock()
 	if conn == nil {
+		// Only the receiving goroutine of the responder opens flows, so no other one opens the same flow meanwhile.
 		var err error
 		if conn, err = net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(r.upstream)); err != nil {
-			r.mu.Unlock()
 			return
 		}
+		r.mu.Lock()
 		r.flows[caller] = conn
+		r.mu.Unlock()
 		go r.receive(caller, conn)
 	}
-	r.mu.Unlock()
 	_, _ = conn.Write(payload)
 }
 
+// closeIf closes the flows whose caller address matches.
+func (r *relay) closeIf(match func(netip.Addr) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for caller, conn := range r.flows {
+		if match(caller.Addr()) {
+			_ = conn.Close()
+		}
+	}
+}
+
 func (r *relay) receive(caller netip.AddrPort, conn *net.UDPConn) {
 	defer func() {
 		r.mu.Lock()
 		delete(r.flows, caller)
 		r.mu.Unlock()
 		_ = conn.Close()
-		r.tracker.Close(registrar.Flow{Caller: caller})
+		r.tracker.Close(caller)
 	}()
-	b := make([]byte, maxDatagram)
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(relayIdle)); err != nil {
 			return
 		}
-		n, err := conn.Read(b)
-		if err != nil {
+		if err := r.receiveOne(caller, raw); err != nil {
 			return
 		}
-		r.answer(caller, b[:n])
 	}
 }
+
+// receiveOne waits for one datagram. It takes a buffer only once there is something to read, because a buffer for each
+// waiting flow would take 64 KiB a flow.
+func (r *relay) receiveOne(caller netip.AddrPort, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Read(func(fd uintptr) bool {
+		b := r.buffers.Get().(*[]byte)
+		defer r.buffers.Put(b)
+		n, _, err := unix.Recvfrom(int(fd), *b, unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
+			return false
+		case errors.Is(err, unix.ECONNREFUSED):
+			// The upstream restarts; the flow waits for it.
+			return true
+		case err != nil:
+			failure = err
+			return true
+		}
+		r.answer(caller, (*b)[:n])
+		return true
+	})
+	return errors.Join(err, failure)
+}
--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -28,13 +29,17 @@
 const (
 	maxDatagram  = 64 << 10
 	socketBuffer = 4 << 20
-	// idleTimeout closes connections without traffic.
-	idleTimeout = 30 * time.Second
-	// keepAlive is the interval of probes on a connection. With the loss of all probes a connection that went silent is
-	// found within idleTimeout, or earlier by the prober.
+	// idleTimeout is the QUIC idle timeout of both ends: the lower of the two advertised values holds. It comes after the
+	// prober's silentAfter, so that this end can still tell the caller. If only the way to the caller is cut, the caller
+	// gives up after idleTimeout and this end after another silentAfter plus one interval, 4.75 s in all.
+	idleTimeout = 2300 * time.Millisecond
+	// keepAlive is the interval of QUIC pings on a connection without other traffic. It leaves the caller 1.2 s, several
+	// probe timeouts of QUIC, to acknowledge before the prober gives up.
 	keepAlive = 1 * time.Second
 	// closeCut is the QUIC application error code for connections of customers that were cut off.
 	closeCut quic.ApplicationErrorCode = 0x1001
+	// closeSilent is the QUIC application error code for connections on which nothing arrives any more.
+	closeSilent quic.ApplicationErrorCode = 0x1002
 )
 
 // Responder serves the callers of one agent. The exported fields are set before Run.
@@ -55,6 +60,12 @@
 
 	udp   *net.UDPConn
 	nonce nonceSource
+	// upstream is this agent's registrar.UpstreamID, which changes if the upstream is removed and announced again.
+	upstream atomic.Uint32
+	buffers  sync.Pool
+	done     chan struct{}
+	// owesNotices is set while the notices for the newest configuration wait for a lease.
+	owesNotices atomic.Bool
 	// mu guards the fields below, which are set once the configuration contains the service.
 	mu     sync.Mutex
 	conn   *packetConn
@@ -76,7 +87,10 @@
 		return err
 	}
 	r.udp = udp
+	r.buffers.New = func() any { b := make([]byte, 0, maxDatagram); return &b }
+	r.done = make(chan struct{})
 	go r.receive()
+	go r.probe()
 	return nil
 }
 
@@ -92,6 +106,7 @@
 	if transport != nil {
 		_ = transport.Close()
 	}
+	close(r.done)
 	return errors.Join(err, r.udp.Close())
 }
 
@@ -117,6 +132,9 @@
 		switch v.Action {
 		case tracker.Deliver:
 			r.deliver(h.Flow, payload)
+			if v.Notify {
+				r.notify(v.To, &v.Header)
+			}
 		case tracker.PassOn:
 			out = encoder.AppendDatagram(out[:0], r.Key, &v.Header, payload)
 			_, _ = r.udp.WriteToUDPAddrPort(out, v.To)
@@ -140,25 +158,57 @@
 
 // answer sends a datagram to a caller through an entry.
 func (r *Responder) answer(caller netip.AddrPort, payload []byte) {
-	h, ok := r.Tracker.Answer(time.Now(), registrar.Flow{Caller: caller})
+	h, ok := r.Tracker.Answer(time.Now(), caller)
 	if !ok {
 		r.Counter.Drop(carrier.DropUnknownFlow)
 		return
 	}
-	out := encoder.AppendDatagram(make([]byte, 0, encoder.HeaderSize+len(payload)), r.Key, &h, payload)
-	_, _ = r.udp.WriteToUDPAddrPort(out, h.Entry)
+	b := r.buffers.Get().(*[]byte)
+	defer r.buffers.Put(b)
+	*b = encoder.AppendDatagram((*b)[:0], r.Key, &h, payload)
+	_, _ = r.udp.WriteToUDPAddrPort(*b, h.Entry)
 }
 
+// notify sends a notice of the tracker to another agent.
+func (r *Responder) notify(to netip.AddrPort, h *carrier.Header) {
+	b := r.buffers.Get().(*[]byte)
+	defer r.buffers.Put(b)
+	*b = encoder.AppendDatagram((*b)[:0], r.Key, h, nil)
+	_, _ = r.udp.WriteToUDPAddrPort(*b, to)
+}
+
+// Notify tells other agents about the flows that this agent holds in their buckets.
+func (r *Responder) Notify() { r.Tracker.Notices(time.Now(), r.notify) }
+
 // Update starts serving once the configuration contains the service, and closes the connections of customers that may no
 // longer use it.
 func (r *Responder) Update(w *registrar.World) {
 	if err := r.start(w); err != nil {
 		r.Recorder.Error(recorder.ListenFailed, recorder.Err(err))
 	}
-	r.conns.closeIf(func(addr netip.Addr) bool {
+	refused := func(addr netip.Addr) bool {
 		_, ok := r.Tracker.Allowed(addr)
 		return !ok
-	})
+	}
+	u, _ := r.Tracker.Self()
+	renewed := r.upstream.Swap(uint32(u.ID)) != uint32(u.ID)
+	// Connection ids that were issued under another upstream id lead nowhere.
+	r.conns.closeIf(func(addr netip.Addr) bool { return renewed || refused(addr) })
+	r.mu.Lock()
+	relay := r.relay
+	r.mu.Unlock()
+	if relay != nil {
+		relay.closeIf(func(addr netip.Addr) bool { return renewed || refused(addr) })
+	}
+	r.owesNotices.Store(true)
+	r.payNotices()
+}
+
+// payNotices sends the notices that wait for a lease once there is one. The lease is extended only after an update.
+func (r *Responder) payNotices() {
+	if r.Tracker.MayPass(time.Now()) && r.owesNotices.CompareAndSwap(true, false) {
+		r.Notify()
+	}
 }
 
 func (r *Responder) start(w *registrar.World) error {
@@ -179,15 +229,17 @@
 		r.relay = newRelay(r.Upstream, r.answer, r.Tracker)
 		return nil
 	}
-	return r.startQUIC(s, u.ID)
+	r.upstream.Store(uint32(u.ID))
+	return r.startQUIC(s)
 }
 
-func (r *Responder) startQUIC(s registrar.Service, id registrar.UpstreamID) error {
+func (r *Responder) startQUIC(s registrar.Service) error {
 	conn := newPacketConn(s.Address, r.answer)
+	conn.mayPass = func() bool { return r.Tracker.MayPass(time.Now()) }
 	reset := quic.StatelessResetKey(r.ResetKey)
 	r.quic = &quic.Transport{
 		Conn:                  conn,
-		ConnectionIDGenerator: &idGenerator{stamper: r.Stamper, upstream: id, nonce: &r.nonce},
+		ConnectionIDGenerator: &idGenerator{stamper: r.Stamper, upstream: &r.upstream, nonce: &r.nonce},
 		StatelessResetKey:     &reset,
 	}
 	ln, err := r.quic.ListenEarly(http3.ConfigureTLSConfig(r.Certificate), &quic.Config{
@@ -216,7 +268,7 @@
 		r.conns.remove(c)
 		if a, ok := c.RemoteAddr().(*net.UDPAddr); ok {
 			from := a.AddrPort()
-			r.Tracker.Close(registrar.Flow{Caller: netip.AddrPortFrom(from.Addr().Unmap(), from.Port())})
+			r.Tracker.Close(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 		}
 	})
 }
--- a/internal/route/balancer/balancer.go
+++ b/internal/route/balancer/balancer.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"math"
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,8 +19,8 @@
 // about a quarter of the mean.
 const BucketCount = 4096
 
-// MaxHops bounds how often a datagram is passed from agent to agent.
-const MaxHops = 8
+// MaxChain bounds the upstreams in a chain.
+const MaxChain = 8
 
 // Choice holds the upstreams that take the new flows of a bucket.
 type Choice struct {
@@ -90,7 +91,7 @@
 // Chain lists the upstreams that may hold a flow of a bucket, in the order in which they are asked. It is a fixed-size
 // value so that looking one up does not allocate.
 type Chain struct {
-	ids [MaxHops]registrar.UpstreamID
+	ids [MaxChain]registrar.UpstreamID
 	n   int
 }
 
@@ -111,7 +112,7 @@
 }
 
 func (c *Chain) add(id registrar.UpstreamID) {
-	if id == 0 || c.n == MaxHops || c.Index(id) >= 0 {
+	if id == 0 || c.n == MaxChain || c.Index(id) >= 0 {
 		return
 	}
 	c.ids[c.n] = id
@@ -123,16 +124,29 @@
 	service registrar.ServiceID
 	// tables are ordered newest first; there is at least one.
 	tables []*Table
-	// reachable holds the upstreams outside withdrawn zones.
+	// reachable holds the upstreams that can hold flows: those outside withdrawn zones whose agent is heard. An agent
+	// that is gone would swallow every datagram that is passed along the chain.
 	reachable map[registrar.UpstreamID]bool
 }
 
+// Depth says which generations a machine needs.
+type Depth uint8
+
+// The depths.
+const (
+	// AllGenerations is for agents, which pass datagrams along whole chains.
+	AllGenerations Depth = iota
+	// NewestGeneration is for entries, which need only the first upstream of a chain. A table takes 32 KiB, so an entry
+	// with hundreds of services must not hold the older ones.
+	NewestGeneration
+)
+
 // New computes the tables for a service. Tables of generations that previous already holds are reused; previous may be
 // nil.
-func New(v registrar.ServiceView, previous *Balancer) *Balancer {
+func New(v registrar.ServiceView, previous *Balancer, depth Depth) *Balancer {
 	b := &Balancer{service: v.ID, reachable: map[registrar.UpstreamID]bool{}}
 	for _, u := range v.Upstreams {
-		b.reachable[u.ID] = !u.ZoneWithdrawn
+		b.reachable[u.ID] = !u.ZoneWithdrawn && !u.Silent
 	}
 	for i := len(v.Generations) - 1; i >= 0; i-- {
 		g := v.Generations[i]
@@ -141,6 +155,9 @@
 			t = NewTable(v.ID, g)
 		}
 		b.tables = append(b.tables, t)
+		if depth == NewestGeneration && b.anyReachable(g) {
+			break
+		}
 	}
 	if len(b.tables) == 0 {
 		b.tables = []*Table{{}}
@@ -148,6 +165,10 @@
 	return b
 }
 
+func (b *Balancer) anyReachable(g registrar.Generation) bool {
+	return slices.ContainsFunc(g.Members, func(m registrar.Member) bool { return b.reachable[m.Upstream] })
+}
+
 func (b *Balancer) table(service registrar.ServiceID, at registrar.Revision) *Table {
 	if b == nil || b.service != service {
 		return nil
@@ -164,12 +185,16 @@
 func (b *Balancer) Newest() *Table { return b.tables[0] }
 
 // Chain returns the owner of a bucket followed by its earlier owners that may still hold flows. Upstreams in withdrawn
-// zones are left out.
+// zones and upstreams whose agent is not heard any more are left out, and their second choices take their places.
 func (b *Balancer) Chain(bucket Bucket) Chain {
 	var c Chain
 	for _, t := range b.tables {
-		if id := t.choices[bucket].Owner; b.reachable[id] {
-			c.add(id)
+		// An owner that is gone has taken with it what it knew about the flows that the second choice took.
+		choice := t.choices[bucket]
+		if b.reachable[choice.Owner] {
+			c.add(choice.Owner)
+		} else if b.reachable[choice.Second] {
+			c.add(choice.Second)
 		}
 	}
 	return c
--- a/internal/route/carrier/carrier.go
+++ b/internal/route/carrier/carrier.go
@@ -16,6 +16,8 @@
 	Forward Kind = 1
 	// Answer carries an upstream's datagram from an agent to an entry.
 	Answer Kind = 2
+	// Notice tells the owner of a bucket that the agent that sends it holds a flow of the bucket.
+	Notice Kind = 3
 )
 
 // Flags modify a forwarded datagram.
@@ -31,12 +33,18 @@
 	Direct
 )
 
+// MaxAsked bounds how often a datagram is passed from agent to agent. It covers the longest chain, the way back to the
+// owner, the second choice, and a few extra hops between agents at different revisions.
+const MaxAsked = 12
+
 // Header describes a datagram between machines.
 type Header struct {
-	Kind Kind
-	// Hops counts how often the datagram has been passed from agent to agent.
-	Hops  uint8
+	Kind  Kind
 	Flags Flags
+	// asked lists the agents that have had the datagram, in order. It ends loops between agents whose revisions, and so
+	// whose chains, differ.
+	asked  [MaxAsked]registrar.UpstreamID
+	nAsked uint8
 	// Service and Target are checked by the receiver against its own configuration.
 	Service registrar.ServiceID
 	Target  registrar.UpstreamID
@@ -50,6 +58,35 @@
 // Has reports whether all given flags are set.
 func (h *Header) Has(f Flags) bool { return h.Flags&f == f }
 
+// Hops counts how often the datagram has been passed from agent to agent.
+func (h *Header) Hops() int { return int(h.nAsked) }
+
+// Asked returns the agent at position i of those that have had the datagram.
+func (h *Header) Asked(i int) registrar.UpstreamID { return h.asked[i] }
+
+// HasAsked reports whether an agent has had the datagram.
+func (h *Header) HasAsked(u registrar.UpstreamID) bool {
+	for _, a := range h.asked[:h.nAsked] {
+		if a == u {
+			return true
+		}
+	}
+	return false
+}
+
+// AddAsked adds an agent to those that have had the datagram. It returns false if there is no room.
+func (h *Header) AddAsked(u registrar.UpstreamID) bool {
+	if h.nAsked == MaxAsked {
+		return false
+	}
+	h.asked[h.nAsked] = u
+	h.nAsked++
+	return true
+}
+
+// ResetAsked removes all agents from those that have had the datagram.
+func (h *Header) ResetAsked() { h.nAsked = 0 }
+
 // DropReason says why a datagram was not passed.
 type DropReason uint8
 
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -45,6 +45,8 @@
 
 	shards   [shardCount]shard
 	revision atomic.Uint64
+	// newestUpstream is the highest upstream id that the entry has heard of.
+	newestUpstream atomic.Uint32
 }
 
 func (f *Forwarder) shard(a netip.AddrPort) *shard {
@@ -76,6 +78,9 @@
 		s.mu.Unlock()
 	}
 	f.revision.Store(uint64(at))
+	for _, u := range w.Upstreams() {
+		f.newestUpstream.Store(max(f.newestUpstream.Load(), uint32(u.ID)))
+	}
 }
 
 func (f *Forwarder) replace(v registrar.ServiceView, at registrar.Revision) {
@@ -84,11 +89,11 @@
 	old := s.routes[v.Address]
 	s.mu.RUnlock()
 	next := &entryRoute{customers: map[registrar.CustomerName]*counter.Customer{}}
+	var previous *resolver.Route
 	if old != nil {
-		next.Route = resolver.New(v, at, old.Route)
-	} else {
-		next.Route = resolver.New(v, at, nil)
+		previous = old.Route
 	}
+	next.Route = resolver.New(v, at, previous, balancer.NewestGeneration)
 	for _, c := range v.Contracts {
 		next.customers[c.Customer] = f.Counter.Customer(c.Customer)
 	}
@@ -168,7 +173,8 @@
 		if kind == stamper.Malformed {
 			return 0, 0, carrier.DropMalformed
 		}
-		if u, ok := f.Stamper.Verify(id); ok {
+		// An upstream that is newer than this entry's configuration is found by the agents of the bucket.
+		if u, ok := f.Stamper.Verify(id); ok && uint32(u) <= f.newestUpstream.Load() {
 			return u, carrier.Direct, carrier.Passed
 		}
 	}
@@ -206,7 +212,9 @@
 	if r.Service.ID != h.Service {
 		return carrier.DropWrongService
 	}
-	if u, ok := r.Upstream(h.Target); !ok {
+	// An agent with a newer configuration may speak for an upstream that this entry has not heard of. The service id, which
+	// is never reused, still ties the answer to the service address.
+	if u, ok := r.Upstream(h.Target); !ok && h.Revision <= r.Revision {
 		return carrier.DropWrongService
 	} else if u.ZoneWithdrawn {
 		return carrier.DropZoneWithdrawn
--- a/internal/route/resolver/resolver.go
+++ b/internal/route/resolver/resolver.go
@@ -28,13 +28,13 @@
 }
 
 // New builds the route of a service. Tables that previous already holds are reused; previous may be nil.
-func New(v registrar.ServiceView, at registrar.Revision, previous *Route) *Route {
+func New(v registrar.ServiceView, at registrar.Revision, previous *Route, depth balancer.Depth) *Route {
 	r := &Route{Service: v.Service, Revision: at, upstreams: map[registrar.UpstreamID]registrar.UpstreamView{}}
 	var tables *balancer.Balancer
 	if previous != nil {
 		tables = previous.Balancer
 	}
-	r.Balancer = balancer.New(v, tables)
+	r.Balancer = balancer.New(v, tables, depth)
 	for _, u := range v.Upstreams {
 		r.upstreams[u.ID] = u
 	}
--- a/internal/route/stamper/packet.go
+++ b/internal/route/stamper/packet.go
@@ -1,5 +1,7 @@
 package stamper
 
+import "encoding/binary"
+
 // Kind classifies a QUIC datagram by its first packet (RFC 9000 section 17).
 type Kind int
 
@@ -23,6 +25,7 @@
 	maxIDLength     = 20
 	minShortPacket  = 1 + Size
 	minInitialBytes = 1200
+	version1        = 1
 )
 
 // Parse returns the kind of a QUIC datagram and its destination connection id. The id is a part of b.
@@ -44,7 +47,14 @@
 		return Malformed, nil
 	}
 	id := b[longIDLengthAt+1 : longIDLengthAt+1+n]
-	if b[0]&packetTypeMask == 0 && len(b) >= minInitialBytes {
+	version := binary.BigEndian.Uint32(b[versionAt:])
+	if version == 0 {
+		// Only servers send version negotiation packets.
+		return Malformed, nil
+	}
+	// The packet types of other versions are not known. The server answers such a packet with the versions it speaks, so
+	// it is taken as the start of a connection (RFC 9000 section 6.1).
+	if (version != version1 || b[0]&packetTypeMask == 0) && len(b) >= minInitialBytes {
 		return Initial, id
 	}
 	return LongHeader, id
--- a/internal/route/tracker/tracker.go
+++ b/internal/route/tracker/tracker.go
@@ -3,13 +3,10 @@
 package tracker
 
 import (
-	"encoding/binary"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/peridotstage/peridotstage/internal/route/balancer"
 	"github.com/peridotstage/peridotstage/internal/route/carrier"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
@@ -39,51 +36,25 @@
 	Deliver
 	// PassOn sends the datagram to another agent.
 	PassOn
+	// Keep says that the datagram was for the tracker itself.
+	Keep
 )
 
 // Verdict is the decision about one datagram.
 type Verdict struct {
 	Action Action
 	Reason carrier.DropReason
-	// To and Header are set for PassOn.
+	// Notify is set for Deliver if Header has to be sent to To as a notice besides.
+	Notify bool
+	// To and Header are set for PassOn and Notify.
 	To     netip.AddrPort
 	Header carrier.Header
 }
 
-const (
-	shardCount = 64
-	// flowIdle is how long a flow may stay without packets. It exceeds the QUIC idle timeout of 30 s.
-	flowIdle = 120 * time.Second
-	// callerQuiet is how long after the caller's last packet answers keep using the same entry.
-	callerQuiet = 300 * time.Millisecond
-	// recentEntries is the number of entries that a flow remembers for its answers.
-	recentEntries = 2
-)
-
-// flowRecord is the state of one flow.
-type flowRecord struct {
-	// entries are ordered by their last packet, newest first; unused ones are zero.
-	entries  [recentEntries]netip.AddrPort
-	customer *counter.Customer
-	name     registrar.CustomerName
-	// redirect is the upstream that holds the flow, or zero if this agent does.
-	redirect registrar.UpstreamID
-	// generation is the newest generation when the flow was admitted.
-	generation registrar.Revision
-	// quietAt is when the entry of the last packet stops being the only one used for answers.
-	quietAt time.Time
-	// expireAt is when the flow is forgotten.
-	expireAt time.Time
-	answers  uint32
-}
-
-type flowShard struct {
-	mu    sync.Mutex
-	flows map[registrar.Flow]*flowRecord
-}
-
 // Tracker holds the flows of one agent. The exported fields are set before first use.
 type Tracker struct {
+	// Machine is this agent. An agent that has lost its upstream to another machine takes nothing.
+	Machine  registrar.MachineName
 	Upstream registrar.UpstreamName
 	Service  registrar.ServiceName
 	Lease    Lease
@@ -92,41 +63,65 @@
 	Stamper  *stamper.Stamper
 
 	// routeMu is held for reading while a datagram is decided, so that a cut falls clearly before or after it.
-	routeMu sync.RWMutex
-	route   *resolver.Route
-	self    registrar.UpstreamView
-	ok      bool
-	shards  [shardCount]flowShard
+	routeMu   sync.RWMutex
+	route     *resolver.Route
+	self      registrar.UpstreamView
+	ok        bool
+	entries   *entrySet
+	customers map[registrar.CustomerName]*counter.Customer
+	shards    [shardCount]flowShard
+	epochOnce sync.Once
+	epoch     time.Time
 }
 
-func (t *Tracker) shard(f registrar.Flow) *flowShard {
-	var key [18]byte
-	ip := f.Caller.Addr().As16()
-	copy(key[:], ip[:])
-	binary.LittleEndian.PutUint16(key[16:], f.Caller.Port())
-	return &t.shards[xxhash.Sum64(key[:])%shardCount]
+// instant converts a clock reading. The first reading is instant 1, so that 0 stands for never.
+func (t *Tracker) instant(now time.Time) instant {
+	t.epochOnce.Do(func() { t.epoch = now.Add(-1) })
+	return instant(now.Sub(t.epoch))
+}
+
+func (t *Tracker) flowIdle() time.Duration {
+	if t.route.Service.Transport == registrar.TransportQUIC {
+		return quicFlowIdle
+	}
+	return udpFlowIdle
 }
 
-// Update replaces the route by that of the configuration and forgets the flows of customers that are cut off.
+// Update replaces the route by that of the configuration. It forgets the flows of customers that are cut off, and all flows
+// if the zone is withdrawn or the upstream is not this agent's any more. It is not called by two goroutines at once.
 func (t *Tracker) Update(w *registrar.World) {
 	v, ok := w.View(t.Service)
-	at := w.Revision()
+	var route *resolver.Route
+	if ok {
+		// Tables take milliseconds to compute, so datagrams are decided by the old route meanwhile.
+		route = resolver.New(v, w.Revision(), t.route, balancer.AllGenerations)
+	}
+	entries := newEntrySet(w, t.entries)
+	customers := map[registrar.CustomerName]*counter.Customer{}
+	for _, c := range v.Contracts {
+		customers[c.Customer] = t.Counter.Customer(c.Customer)
+	}
 	t.routeMu.Lock()
 	defer t.routeMu.Unlock()
-	t.ok = false
-	if !ok {
-		t.route = nil
+	before := t.self
+	t.route, t.entries, t.customers, t.self, t.ok = route, entries, customers, registrar.UpstreamView{}, false
+	if route != nil {
+		t.self, t.ok = route.UpstreamNamed(t.Upstream)
+		t.ok = t.ok && (t.Machine == "" || t.self.Machine == t.Machine)
+	}
+	if !t.ok || t.self.ZoneWithdrawn || t.self.ID != before.ID {
+		t.forget(func(*flowRecord) bool { return true })
+	}
+	if route == nil {
 		return
 	}
-	t.route = resolver.New(v, at, t.route)
-	t.self, t.ok = t.route.UpstreamNamed(t.Upstream)
-	cut := map[registrar.CustomerName]bool{}
-	t.route.CutCustomers(func(name registrar.CustomerName, at registrar.Revision) {
-		cut[name] = true
-		t.Counter.Customer(name).EnforceCut(at)
+	cut := map[*counter.Customer]bool{}
+	route.CutCustomers(func(name registrar.CustomerName, at registrar.Revision) {
+		cut[customers[name]] = true
+		customers[name].EnforceCut(at)
 	})
 	if len(cut) > 0 {
-		t.forget(func(_ registrar.Flow, r *flowRecord) bool { return cut[r.name] })
+		t.forget(func(r *flowRecord) bool { return cut[r.customer] })
 	}
 }
 
@@ -137,11 +132,22 @@
 	return t.self, t.ok
 }
 
-// Allowed reports whether the customer of a source address may use the service at present, and the customer's name.
+// MayPass reports whether the agent may pass on what callers have sent. A process that was frozen finds datagrams in its
+// queues that arrived before its lease ended.
+func (t *Tracker) MayPass(now time.Time) bool {
+	if !t.Lease.Valid(now) {
+		return false
+	}
+	t.routeMu.RLock()
+	defer t.routeMu.RUnlock()
+	return t.ok && !t.self.ZoneWithdrawn
+}
+
+// Allowed reports whether the customer of a source address may use this agent at present, and the customer's name.
 func (t *Tracker) Allowed(addr netip.Addr) (registrar.CustomerName, bool) {
 	t.routeMu.RLock()
 	defer t.routeMu.RUnlock()
-	if t.route == nil {
+	if !t.ok || t.self.ZoneWithdrawn {
 		return "", false
 	}
 	name, cut, ok := t.route.Customer(addr)
@@ -160,7 +166,7 @@
 func dropped(r carrier.DropReason) Verdict { return Verdict{Reason: r} }
 
 func (t *Tracker) receive(now time.Time, h *carrier.Header, payload []byte) Verdict {
-	if h.Kind != carrier.Forward {
+	if h.Kind != carrier.Forward && h.Kind != carrier.Notice {
 		return dropped(carrier.DropMalformed)
 	}
 	if !t.Lease.Valid(now) {
@@ -182,236 +188,21 @@
 	if !ok {
 		return dropped(carrier.DropNoContract)
 	}
-	customer := t.Counter.Customer(name)
+	c := customer{name: name, counts: t.customers[name]}
 	if cut {
-		customer.Drop()
+		c.counts.Drop()
 		return dropped(carrier.DropCut)
 	}
-	v := t.place(now, h, payload, name, customer)
+	if h.Kind == carrier.Notice {
+		return t.noted(t.instant(now), h, c)
+	}
+	t.entries.heard(t.instant(now), h.Entry)
+	v := t.place(now, h, payload, c)
 	switch v.Action {
 	case Deliver:
-		customer.Pass(now)
+		c.counts.Pass(now)
 	case Drop:
-		customer.Drop()
-	}
-	return v
-}
-
-// place finds the agent that holds or should hold the flow.
-func (t *Tracker) place(now time.Time, h *carrier.Header, payload []byte, name registrar.CustomerName, customer *counter.Customer) Verdict {
-	s := t.shard(h.Flow)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r := s.flows[h.Flow]; r != nil {
-		r.expireAt = now.Add(flowIdle)
-		if r.redirect != 0 && !h.Has(carrier.Direct) {
-			return t.passTo(h, r.redirect, carrier.Redirected)
-		}
-		r.redirect = 0
-		r.seen(now, h.Entry)
-		return Verdict{Action: Deliver}
-	}
-	if h.Has(carrier.Direct) {
-		s.add(now, h, t.record(name, customer))
-		return Verdict{Action: Deliver}
-	}
-	if !h.Has(carrier.Redirected) {
-		if v, done := t.follow(h); done {
-			return v
-		}
-	}
-	return t.admit(now, s, h, payload, name, customer)
-}
-
-// follow passes a datagram of an unknown flow along the chain of its bucket. It returns false if the flow may start here.
-func (t *Tracker) follow(h *carrier.Header) (Verdict, bool) {
-	chain := t.route.Chain(balancer.BucketOf(h.Flow))
-	at := chain.Index(t.self.ID)
-	switch {
-	case chain.Len() == 0:
-		return dropped(carrier.DropNoUpstream), true
-	case h.Has(carrier.Unclaimed):
-		if at == 0 {
-			return Verdict{}, false
-		}
-		// The sender and this agent disagree about the owner, so the chain is followed once more from its start.
-		return t.passTo(h, chain.At(0), 0), true
-	case at < 0:
-		return t.passTo(h, chain.At(0), 0), true
-	case at+1 < chain.Len():
-		return t.passTo(h, chain.At(at+1), 0), true
-	case at > 0:
-		return t.passTo(h, chain.At(0), carrier.Unclaimed), true
-	}
-	return Verdict{}, false
-}
-
-// admit starts a flow here or passes it to the second choice of its bucket.
-func (t *Tracker) admit(now time.Time, s *flowShard, h *carrier.Header, payload []byte, name registrar.CustomerName, customer *counter.Customer) Verdict {
-	if !t.mayStart(payload) {
-		return dropped(carrier.DropUnknownFlow)
-	}
-	if t.takesNewFlows() && t.Admitter.AdmitFlow(now) {
-		s.add(now, h, t.record(name, customer))
-		return Verdict{Action: Deliver}
-	}
-	second := t.route.Newest().Choice(balancer.BucketOf(h.Flow)).Second
-	if h.Has(carrier.Redirected) || second == 0 || second == t.self.ID {
-		return dropped(carrier.DropRefused)
-	}
-	v := t.passTo(h, second, carrier.Redirected)
-	if v.Action == PassOn {
-		r := t.record(name, customer)
-		r.redirect = second
-		s.add(now, h, r)
+		c.counts.Drop()
 	}
 	return v
 }
-
-func (t *Tracker) mayStart(payload []byte) bool {
-	if t.route.Service.Transport == registrar.TransportUDP {
-		return true
-	}
-	kind, _ := stamper.Parse(payload)
-	return kind == stamper.Initial
-}
-
-func (t *Tracker) takesNewFlows() bool { return !t.self.Retired && !t.self.Silent }
-
-func (t *Tracker) record(name registrar.CustomerName, customer *counter.Customer) *flowRecord {
-	return &flowRecord{name: name, customer: customer, generation: t.route.Newest().Revision}
-}
-
-func (t *Tracker) passTo(h *carrier.Header, to registrar.UpstreamID, flags carrier.Flags) Verdict {
-	u, ok := t.route.Upstream(to)
-	switch {
-	case to == t.self.ID || h.Hops >= balancer.MaxHops:
-		return dropped(carrier.DropHopLimit)
-	case !ok || !u.DataAddress.IsValid():
-		return dropped(carrier.DropNoUpstream)
-	case u.ZoneWithdrawn:
-		return dropped(carrier.DropZoneWithdrawn)
-	}
-	next := *h
-	next.Hops++
-	next.Target = to
-	next.Flags = flags
-	next.Revision = t.route.Revision
-	return Verdict{Action: PassOn, To: u.DataAddress, Header: next}
-}
-
-func (s *flowShard) add(now time.Time, h *carrier.Header, r *flowRecord) {
-	if s.flows == nil {
-		s.flows = map[registrar.Flow]*flowRecord{}
-	}
-	r.expireAt = now.Add(flowIdle)
-	r.seen(now, h.Entry)
-	s.flows[h.Flow] = r
-	if r.redirect == 0 {
-		r.customer.AddFlows(1)
-	}
-}
-
-func (r *flowRecord) seen(now time.Time, entry netip.AddrPort) {
-	if r.entries[0] != entry {
-		r.entries[1] = r.entries[0]
-		r.entries[0] = entry
-	}
-	r.quietAt = now.Add(callerQuiet)
-}
-
-// Answer returns the header of an answer on a flow and the entry to send it through. It returns false if the flow is not
-// known or may not be answered.
-func (t *Tracker) Answer(now time.Time, f registrar.Flow) (carrier.Header, bool) {
-	if !t.Lease.Valid(now) {
-		return carrier.Header{}, false
-	}
-	t.routeMu.RLock()
-	defer t.routeMu.RUnlock()
-	if !t.ok || t.self.ZoneWithdrawn {
-		return carrier.Header{}, false
-	}
-	f.Service = t.route.Service.Address
-	s := t.shard(f)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := s.flows[f]
-	if r == nil {
-		return carrier.Header{}, false
-	}
-	r.expireAt = now.Add(flowIdle)
-	entry := r.entries[0]
-	if now.After(r.quietAt) && r.entries[1].IsValid() {
-		r.answers++
-		entry = r.entries[r.answers%recentEntries]
-	}
-	return carrier.Header{
-		Kind: carrier.Answer, Service: t.route.Service.ID, Target: t.self.ID, Revision: t.route.Revision, Flow: f, Entry: entry,
-	}, true
-}
-
-// Close forgets a flow.
-func (t *Tracker) Close(f registrar.Flow) {
-	t.routeMu.RLock()
-	if t.route != nil {
-		f.Service = t.route.Service.Address
-	}
-	t.routeMu.RUnlock()
-	s := t.shard(f)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.remove(f)
-}
-
-func (s *flowShard) remove(f registrar.Flow) {
-	r := s.flows[f]
-	if r == nil {
-		return
-	}
-	delete(s.flows, f)
-	if r.redirect == 0 {
-		r.customer.AddFlows(-1)
-	}
-}
-
-// Expire forgets the flows that have been idle too long.
-func (t *Tracker) Expire(now time.Time) {
-	t.forget(func(_ registrar.Flow, r *flowRecord) bool { return now.After(r.expireAt) })
-}
-
-func (t *Tracker) forget(match func(registrar.Flow, *flowRecord) bool) {
-	for i := range t.shards {
-		s := &t.shards[i]
-		s.mu.Lock()
-		for f, r := range s.flows {
-			if match(f, r) {
-				s.remove(f)
-			}
-		}
-		s.mu.Unlock()
-	}
-}
-
-// Stats summarises the flows of the agent.
-type Stats struct {
-	Flows int
-	// Oldest is the oldest generation in which a live flow was admitted; 0 without flows.
-	Oldest registrar.Revision
-}
-
-// Stats returns a summary of the flows.
-func (t *Tracker) Stats() Stats {
-	var st Stats
-	for i := range t.shards {
-		s := &t.shards[i]
-		s.mu.Lock()
-		st.Flows += len(s.flows)
-		for _, r := range s.flows {
-			if st.Oldest == 0 || r.generation < st.Oldest {
-				st.Oldest = r.generation
-			}
-		}
-		s.mu.Unlock()
-	}
-	return st
-}
--- a/internal/wire/encoder/datagram.go
+++ b/internal/wire/encoder/datagram.go
@@ -23,7 +23,7 @@
 )
 
 // DatagramVersion is the version of the datagram header.
-const DatagramVersion = 1
+const DatagramVersion = 2
 
 // Key authenticates datagrams between machines.
 type Key struct{ K0, K1 uint64 }
@@ -32,16 +32,20 @@
 	fixedSize    = 4 + 4 + 4 + 8
 	addrPortSize = 16 + 2
 	// TagSize is the length in bytes of the tag that ends a header.
-	TagSize = 16
-	// HeaderSize is the length in bytes of a header before the payload.
+	TagSize   = 16
+	askedSize = 4
+	// HeaderSize is the length in bytes of a header before the payload while no agent has passed the datagram on. Each
+	// agent that does adds its upstream id of 4 bytes after the tag.
 	HeaderSize = fixedSize + 3*addrPortSize + TagSize
-	tagAt      = HeaderSize - TagSize
+	// MaxHeaderSize is the length in bytes of the longest header.
+	MaxHeaderSize = HeaderSize + carrier.MaxAsked*askedSize
+	tagAt         = HeaderSize - TagSize
 )
 
 // AppendDatagram appends the sealed header and the payload to b.
 func AppendDatagram(b []byte, k Key, h *carrier.Header, payload []byte) []byte {
 	start := len(b)
-	b = append(b, DatagramVersion, byte(h.Kind), h.Hops, byte(h.Flags))
+	b = append(b, DatagramVersion, byte(h.Kind), byte(h.Hops()), byte(h.Flags))
 	b = binary.BigEndian.AppendUint32(b, uint32(h.Service))
 	b = binary.BigEndian.AppendUint32(b, uint32(h.Target))
 	b = binary.BigEndian.AppendUint64(b, uint64(h.Revision))
@@ -49,6 +53,9 @@
 	b = appendAddrPort(b, h.Flow.Service)
 	b = appendAddrPort(b, h.Entry)
 	b = append(b, make([]byte, TagSize)...)
+	for i := range h.Hops() {
+		b = binary.BigEndian.AppendUint32(b, uint32(h.Asked(i)))
+	}
 	b = append(b, payload...)
 	seal(k, b[start:])
 	return b
@@ -76,14 +83,22 @@
 	if (h0^t0)|(h1^t1) != 0 {
 		return nil, ErrTag
 	}
-	h.Kind, h.Hops, h.Flags = carrier.Kind(d[1]), d[2], carrier.Flags(d[3])
+	payloadAt := HeaderSize + int(d[2])*askedSize
+	if d[2] > carrier.MaxAsked || len(d) < payloadAt {
+		return nil, ErrShort
+	}
+	h.Kind, h.Flags = carrier.Kind(d[1]), carrier.Flags(d[3])
+	h.ResetAsked()
+	for at := HeaderSize; at < payloadAt; at += askedSize {
+		h.AddAsked(registrar.UpstreamID(binary.BigEndian.Uint32(d[at:])))
+	}
 	h.Service = registrar.ServiceID(binary.BigEndian.Uint32(d[4:]))
 	h.Target = registrar.UpstreamID(binary.BigEndian.Uint32(d[8:]))
 	h.Revision = registrar.Revision(binary.BigEndian.Uint64(d[12:]))
 	h.Flow.Caller = parseAddrPort(d[fixedSize:])
 	h.Flow.Service = parseAddrPort(d[fixedSize+addrPortSize:])
 	h.Entry = parseAddrPort(d[fixedSize+2*addrPortSize:])
-	return d[HeaderSize:], nil
+	return d[payloadAt:], nil
 }
 
 func appendAddrPort(b []byte, a netip.AddrPort) []byte {
--- a/internal/world/registrar/apply.go
+++ b/internal/world/registrar/apply.go
@@ -334,5 +334,5 @@
 
 func (w *World) takesNewFlows(u Upstream) bool {
 	z, ok := w.places.zones[u.Zone]
-	return ok && !z.Withdrawn && !u.Retired && !u.Silent
+	return ok && !z.Withdrawn && !u.Retired && !u.Draining && !u.Silent
 }
--- a/internal/world/registrar/object.go
+++ b/internal/world/registrar/object.go
@@ -53,7 +53,9 @@
 	Weight Weight `json:"weight"`
 	// Retired upstreams keep their flows and get no new ones.
 	Retired bool `json:"retired,omitempty"`
-	// Silent upstreams have stopped announcing themselves and get no new flows.
+	// Draining upstreams are stopping: they keep their flows and get no new ones.
+	Draining bool `json:"draining,omitempty"`
+	// Silent upstreams have stopped, or their agents are not heard any more. They hold no flows.
 	Silent bool `json:"silent,omitempty"`
 }
 
