--- a/internal/front/listener/listener.go
+++ b/internal/front/listener/listener.go
@@ -39,7 +39,7 @@
 type Listener struct {
 	Decider Decider
 	Counter *counter.Counter
-	Key     encoder.Key
+	Keys    *encoder.Keyring
 	// DataAddress is the address of the socket for agents.
 	DataAddress netip.AddrPort
 	// AddressMap gives the local address to bind for a service address.
@@ -127,7 +127,7 @@
 		l.fromCaller(registrar.Flow{Caller: from, Service: service}, sc)
 	})
 	if err != nil {
-		l.Recorder.Error(recorder.ListenFailed, zap.Stringer("service_address", service), zap.Error(err))
+		l.Recorder.Error(recorder.ListenFailed, zap.Stringer("service_address", service), recorder.Err(err))
 	}
 	return sockets
 }
@@ -139,12 +139,12 @@
 		return
 	}
 	// The payload already lies behind the room for the header.
-	sealed := encoder.AppendDatagram(sc.buffer[:0], l.Key, &sc.header, payload)
+	sealed := l.Keys.Append(sc.buffer[:0], &sc.header, payload)
 	l.data[int(flow.Caller.Port())%len(l.data)].send(to, sealed)
 }
 
 func (l *Listener) fromAgent(_ netip.AddrPort, sc *scratch) {
-	payload, err := encoder.ParseDatagram(sc.datagram(), l.Key, &sc.header)
+	payload, err := l.Keys.Parse(sc.datagram(), &sc.header)
 	if err != nil {
 		l.Counter.Drop(carrier.DropBadSeal)
 		return
--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -46,7 +46,7 @@
 type Responder struct {
 	Tracker     *tracker.Tracker
 	Counter     *counter.Counter
-	Key         encoder.Key
+	Keys        *encoder.Keyring
 	Stamper     *stamper.Stamper
 	ResetKey    [32]byte
 	DataAddress netip.AddrPort
@@ -122,7 +122,7 @@
 		if err != nil {
 			continue
 		}
-		payload, err := encoder.ParseDatagram(b[:n], r.Key, &h)
+		payload, err := r.Keys.Parse(b[:n], &h)
 		if err != nil {
 			r.Counter.Drop(carrier.DropBadSeal)
 			continue
@@ -136,7 +136,7 @@
 				r.notify(v.To, &v.Header)
 			}
 		case tracker.PassOn:
-			out = encoder.AppendDatagram(out[:0], r.Key, &v.Header, payload)
+			out = r.Keys.Append(out[:0], &v.Header, payload)
 			_, _ = r.udp.WriteToUDPAddrPort(out, v.To)
 		}
 	}
@@ -165,7 +165,7 @@
 	}
 	b := r.buffers.Get().(*[]byte)
 	defer r.buffers.Put(b)
-	*b = encoder.AppendDatagram((*b)[:0], r.Key, &h, payload)
+	*b = r.Keys.Append((*b)[:0], &h, payload)
 	_, _ = r.udp.WriteToUDPAddrPort(*b, h.Entry)
 }
 
@@ -173,7 +173,7 @@
 func (r *Responder) notify(to netip.AddrPort, h *carrier.Header) {
 	b := r.buffers.Get().(*[]byte)
 	defer r.buffers.Put(b)
-	*b = encoder.AppendDatagram((*b)[:0], r.Key, h, nil)
+	*b = r.Keys.Append((*b)[:0], h, nil)
 	_, _ = r.udp.WriteToUDPAddrPort(*b, to)
 }
 
