--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,7 +49,7 @@
 	}
 	counts := &counter.Counter{}
 	t := &tracker.Tracker{
-		Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
+		Machine: cfg.Name, Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
 		Stamper: keys.Stamper,
 	}
 	r := &responder.Responder{
@@ -57,6 +58,7 @@
 		Handler:     &responder.Passer{Upstream: cfg.UpstreamAddress, Transport: &http.Transport{}},
 		Upstream:    cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
 	}
+	var stopped atomic.Bool
 	n.subscriber.Enforcers = []subscriber.Enforcer{t, r}
 	n.describe = func(h *leaser.Heartbeat) {
 		h.Evidence = counts.Evidence()
@@ -65,6 +67,9 @@
 			Weight:     registrar.Weight(cfg.Slots) * registrar.WeightPerSlot,
 			OldestFlow: t.Stats().Oldest, Draining: n.stopping.Load(),
 		}
+		if stopped.Load() {
+			h.Announcement.OldestFlow = 0
+		}
 	}
 	e, err := newExporter(cfg.Machine, func(now time.Time) error {
 		if _, ok := t.Self(); !ok {
@@ -86,7 +91,7 @@
 	g.run(n.run)
 	g.run(reloadOnHangup(rec, keys, pair))
 	g.run(e.Run)
-	g.run(func(ctx context.Context) error { return expireFlows(ctx, t) })
+	g.run(func(ctx context.Context) error { return expireFlows(ctx, t, r) })
 	rec.Info(recorder.MachineStarted)
 	select {
 	case <-ctx.Done():
@@ -100,6 +105,9 @@
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(cfg.Drain))
 	defer cancel()
 	err = r.Shutdown(drain)
+	// Control learns that no flows are left here, so that chains leave this agent out at once.
+	stopped.Store(true)
+	n.lastHeartbeat(drain)
 	g.cancel(nil)
 	_ = g.wait()
 	return eris.Wrap(err, "drain")
@@ -109,14 +117,14 @@
 // Until then the agent passes new flows on, which would be lost after its end.
 func awaitNoNewFlows(g *group, t *tracker.Tracker) {
 	for deadline := time.Now().Add(leaveTime); time.Now().Before(deadline) && g.ctx.Err() == nil; g.pause(leavePoll) {
-		if u, ok := t.Self(); !ok || u.Silent {
+		if u, ok := t.Self(); !ok || u.Draining || u.Silent {
 			g.pause(2 * heartbeatInterval)
 			return
 		}
 	}
 }
 
-func expireFlows(ctx context.Context, t *tracker.Tracker) error {
+func expireFlows(ctx context.Context, t *tracker.Tracker, r *responder.Responder) error {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
@@ -125,6 +133,7 @@
 			return nil
 		case now := <-ticker.C:
 			t.Expire(now)
+			r.Notify()
 		}
 	}
 }
--- a/internal/route/tracker/reopen.go
+++ b/internal/route/tracker/reopen.go
@@ -16,7 +16,7 @@
 		return !t.takesNewFlows()
 	}
 	u, ok := t.route.Upstream(r.redirect)
-	return !ok || u.Silent || u.Retired
+	return !ok || u.Silent || u.Draining || u.Retired
 }
 
 // passReopened hands the new connection to another agent. The flow stays known here for the old connection.
