--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -13,7 +13,6 @@
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/responder"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
-	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/stamper"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
@@ -46,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	counts := &counter.Counter{}
+	counts := n.counts
 	ids := &stamper.Stamper{Keys: keys.ConnectionIDs}
 	t := &tracker.Tracker{
 		Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
@@ -59,9 +58,8 @@
 		Upstream:    cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
 	}
 	var draining atomic.Bool
-	n.subscriber.Enforcers = []subscriber.Enforcer{t, r}
+	n.subscriber.Enforcers = []subscriber.Enforcer{t, r, counts}
 	n.describe = func(h *leaser.Heartbeat) {
-		h.Evidence = counts.Evidence()
 		h.Announcement = &leaser.Announcement{
 			Upstream: cfg.Upstream, Service: cfg.Service, Slots: cfg.Slots,
 			Weight:     registrar.Weight(cfg.Slots) * registrar.WeightPerSlot,
--- /dev/null
+++ b/internal/cli/runner/announcer.go
@@ -0,0 +1,145 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/front/administrator"
+	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+const (
+	// batchDelay is how long announcements are collected. When a zone comes back, its agents announce themselves within a
+	// heartbeat interval of 500 ms, so five entries carry all of them.
+	batchDelay = 100 * time.Millisecond
+	// batchSize bounds the machines of one log entry, which then takes about 100 KB.
+	batchSize = 256
+	// systemProposeTime bounds the wait for a change that the system makes itself. What it could not write is announced again
+	// with the next heartbeat.
+	systemProposeTime = 2 * time.Second
+)
+
+// announcer writes what nodes announce to the log in batches. The exported fields are set before Run.
+type announcer struct {
+	Log      administrator.Log
+	Recorder *recorder.Recorder
+
+	mu sync.Mutex
+	// queued holds the newest facts of each machine; order is the order in which the machines came.
+	queued map[registrar.MachineName]planner.Facts
+	order  []registrar.MachineName
+	// refusals hold why the last announcement of a machine was refused.
+	refusals map[registrar.MachineName]error
+	wake     chan struct{}
+}
+
+func newAnnouncer(log administrator.Log, rec *recorder.Recorder) *announcer {
+	return &announcer{
+		Log: log, Recorder: rec, queued: map[registrar.MachineName]planner.Facts{},
+		refusals: map[registrar.MachineName]error{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// Announce queues what a machine reported in place of what it reported before.
+func (a *announcer) Announce(machine registrar.MachineName, f planner.Facts) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := a.queued[machine]; !ok {
+		a.order = append(a.order, machine)
+	}
+	a.queued[machine] = f
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Refusal returns why the last announcement of a machine was refused.
+func (a *announcer) Refusal(machine registrar.MachineName) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.refusals[machine]
+}
+
+// run proposes batches until ctx ends.
+func (a *announcer) run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	<-timer.C
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.wake:
+		}
+		timer.Reset(batchDelay)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		for machines, f := a.next(); len(machines) > 0 && ctx.Err() == nil; machines, f = a.next() {
+			a.propose(ctx, machines, f)
+		}
+	}
+}
+
+// next takes a batch off the queue.
+func (a *announcer) next() ([]registrar.MachineName, planner.Facts) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var f planner.Facts
+	machines := a.order[:min(batchSize, len(a.order))]
+	a.order = a.order[len(machines):]
+	for _, m := range machines {
+		f.Add(a.queued[m])
+		delete(a.queued, m)
+	}
+	return machines, f
+}
+
+func (a *announcer) propose(ctx context.Context, machines []registrar.MachineName, f planner.Facts) {
+	r, err := proposeFacts(ctx, a.Log, f)
+	if err != nil {
+		a.Recorder.Warn(recorder.ProposalFailed, zap.Int("machines", len(machines)), recorder.Err(err))
+		return
+	}
+	a.Recorder.Info(recorder.AnnouncementsLogged, zap.Int("machines", len(machines)), zap.Uint64("revision", uint64(r.Revision)))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, m := range machines {
+		delete(a.refusals, m)
+	}
+	for _, refusal := range r.Refusals {
+		a.refusals[refusal.Machine] = eris.New(refusal.Message)
+	}
+}
+
+// proposeFacts writes observed facts to the log as one entry.
+func proposeFacts(ctx context.Context, log administrator.Log, f planner.Facts) (planner.Result, error) {
+	var r planner.Result
+	entry, err := json.Marshal(planner.Command{Kind: planner.CommandSystem, AtMilli: time.Now().UnixMilli(), Facts: &f})
+	if err != nil {
+		return r, eris.Wrap(err, "encode facts")
+	}
+	ctx, cancel := context.WithTimeout(ctx, systemProposeTime)
+	defer cancel()
+	out, err := log.Propose(ctx, entry)
+	if err != nil {
+		return r, err
+	}
+	if err := json.Unmarshal(out, &r); err != nil {
+		return r, eris.Wrap(err, "decode result")
+	}
+	if r.Failure != nil {
+		return r, r.Failure
+	}
+	return r, nil
+}
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/peridotstage/peridotstage/internal/control/granter"
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
@@ -20,46 +19,31 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-const (
-	silentInterval = 1 * time.Second
-	// systemProposeTime bounds the wait for a change that the system makes itself. It is shorter than heartbeatTimeout, so
-	// that a node gets its reply even while the log makes no progress.
-	systemProposeTime = 500 * time.Millisecond
-)
+// soleAuthority vouches always, because a single instance knows every confirmed revision.
+type soleAuthority struct{}
 
-// proposer writes system changes to the log.
-type proposer struct {
-	log administrator.Log
-}
+func (soleAuthority) Vouch(time.Time) (time.Duration, bool) { return 0, true }
 
-// ProposeChanges proposes changes as one entry and returns why they were not applied.
-func (p *proposer) ProposeChanges(changes []registrar.Change) error {
-	entry, err := json.Marshal(planner.Command{
-		Kind: planner.CommandSystem, AtMilli: time.Now().UnixMilli(), Changes: changes,
-	})
-	if err != nil {
-		return eris.Wrap(err, "encode changes")
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), systemProposeTime)
-	defer cancel()
-	out, err := p.log.Propose(ctx, entry)
-	if err != nil {
-		return err
-	}
-	var r planner.Result
-	if err := json.Unmarshal(out, &r); err != nil {
-		return eris.Wrap(err, "decode result")
-	}
-	if r.Failure != nil {
-		return r.Failure
+// peers returns a client for each other control instance.
+func peers(cfg parser.Control, keys *loader.Material) map[registrar.MachineName]*connector.Client {
+	all := map[registrar.MachineName]*connector.Client{}
+	for name, address := range cfg.Members {
+		if name != cfg.Name {
+			all[name] = &connector.Client{Address: address, TLS: keys.Client}
+		}
 	}
-	return nil
+	return all
 }
 
-// soleAuthority vouches always, because a single instance knows every confirmed revision.
-type soleAuthority struct{}
+// faultReporter logs faults of nodes.
+type faultReporter struct {
+	recorder *recorder.Recorder
+}
 
-func (soleAuthority) Vouch(time.Time) (time.Duration, bool) { return 0, true }
+// DigestDiffers logs that a node enforced another configuration than the one of its revision.
+func (f faultReporter) DigestDiffers(machine registrar.MachineName, at registrar.Revision) {
+	f.recorder.Error(recorder.DigestDiffers, zap.String("machine", string(machine)), zap.Uint64("revision", uint64(at)))
+}
 
 // Control runs a control instance until ctx ends.
 func Control(ctx context.Context, cfg parser.Control, rec *recorder.Recorder) error {
@@ -71,37 +55,24 @@
 	ledger := planner.NewLedger(updates)
 	log := &replicator.Local{Machine: ledger}
 	sessions := &leaser.Leaser{}
-	p := &proposer{log: log}
+	authority := soleAuthority{}
+	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Peers: peers(cfg, keys)}
+	announcements := newAnnouncer(log, rec)
 	g := newGroup(ctx)
 	g.run((&connector.Server{
 		Address: cfg.ControlAddress, TLS: keys.Server,
 		Heartbeats: &granter.Granter{
-			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: soleAuthority{}, Proposer: p,
+			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: authority,
+			Announcer: announcements, Reporter: faultReporter{rec},
 		},
+		Collector: collector,
 	}).Run)
 	g.run((&administrator.Administrator{
-		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Leaser: sessions, Recorder: rec,
+		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Collector: collector, Authority: authority,
+		Recorder: rec,
 	}).Run)
-	g.run(func(ctx context.Context) error { return markSilent(ctx, ledger.World, sessions, p) })
+	g.run(announcements.run)
+	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: authority, Recorder: rec}).run)
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
 }
-
-// markSilent takes upstreams that are not heard any more out of new generations.
-func markSilent(ctx context.Context, w *registrar.World, l *leaser.Leaser, p *proposer) error {
-	// A fresh instance has heard nobody yet, so it waits for the first heartbeats.
-	timer := time.NewTimer(leaser.SilentAfter)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-timer.C:
-			if changes := l.Silent(now, w); len(changes) > 0 {
-				// A failed proposal is tried again in the next round.
-				_ = p.ProposeChanges(changes)
-			}
-			timer.Reset(silentInterval)
-		}
-	}
-}
--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -7,7 +7,6 @@
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/listener"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
-	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/forwarder"
 	"github.com/peridotstage/peridotstage/internal/route/stamper"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
@@ -25,7 +24,7 @@
 	if err != nil {
 		return err
 	}
-	counts := &counter.Counter{}
+	counts := n.counts
 	f := &forwarder.Forwarder{
 		Stamper: &stamper.Stamper{Keys: keys.ConnectionIDs}, Lease: n.subscriber, Counter: counts, Entry: cfg.DataAddress,
 	}
@@ -33,8 +32,8 @@
 		Decider: f, Counter: counts, Key: keys.Data, DataAddress: cfg.DataAddress, AddressMap: cfg.AddressMap,
 		Recorder: rec, Newer: n.newer,
 	}
-	n.subscriber.Enforcers = []subscriber.Enforcer{f, l}
-	n.describe = func(h *leaser.Heartbeat) { h.Evidence = counts.Evidence() }
+	n.subscriber.Enforcers = []subscriber.Enforcer{f, l, counts}
+	n.describe = func(*leaser.Heartbeat) {}
 	if err := l.Run(); err != nil {
 		return err
 	}
--- a/internal/cli/runner/node.go
+++ b/internal/cli/runner/node.go
@@ -16,6 +16,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -41,6 +42,11 @@
 	describe func(h *leaser.Heartbeat)
 	// wake asks for a heartbeat at once.
 	wake chan struct{}
+	// counts holds the evidence, which reporter picks from.
+	counts   *counter.Counter
+	reporter subscriber.Reporter
+	// digest is the hash of the configuration; 0 until the first reply.
+	digest uint64
 }
 
 func newNode(cfg parser.Node, role registrar.Role, keys *loader.Material, rec *recorder.Recorder) (*node, error) {
@@ -49,10 +55,11 @@
 		return nil, err
 	}
 	n := &node{
-		cfg: cfg, recorder: rec, wake: make(chan struct{}, 1),
+		cfg: cfg, recorder: rec, wake: make(chan struct{}, 1), counts: &counter.Counter{},
 		machine: registrar.Machine{
 			Name: cfg.Name, Role: role, Zone: cfg.Zone, DataAddress: cfg.DataAddress,
 			ControlAddress: cfg.ControlAddress, Incarnation: incarnation,
+			ServesExpired: cfg.LeaseExpired == parser.LeaseExpiredServe,
 		},
 		subscriber: &subscriber.Subscriber{
 			World: registrar.NewWorld(), ServeExpired: cfg.LeaseExpired == parser.LeaseExpiredServe,
@@ -112,6 +119,7 @@
 		if err := n.heartbeat(ctx, n.clients[at]); err != nil && ctx.Err() == nil {
 			n.recorder.Warn(recorder.HeartbeatFailed, zap.Stringer("control", n.clients[at].Address), recorder.Err(err))
 			at = (at + 1) % len(n.clients)
+			n.reporter.Restart()
 			wait = retryInterval
 		}
 		timer.Reset(wait)
@@ -124,6 +132,9 @@
 	h := leaser.Heartbeat{
 		Machine: n.machine, Revision: n.subscriber.World.Revision(), ServeExpired: n.subscriber.ServeExpired,
 	}
+	// The revision is read before the counts, so that the counts are never older than the revision that they are sent with.
+	report := n.reporter.Next(n.counts.Evidence())
+	h.Sequence, h.EvidenceBase, h.Evidence, h.Digest = report.Sequence, report.Base, report.Evidence, n.digest
 	n.describe(&h)
 	r, sentAt, err := c.Heartbeat(ctx, h)
 	if eris.Is(err, connector.ErrRefused) {
@@ -133,11 +144,17 @@
 	if err != nil {
 		return err
 	}
+	n.reporter.Confirm()
+	if r.WantEvidence {
+		n.reporter.Restart()
+		n.heartbeatNow()
+	}
 	before := n.subscriber.World.Revision()
 	if err := n.subscriber.Accept(sentAt, r); err != nil {
 		return err
 	}
-	if after := n.subscriber.World.Revision(); after != before {
+	if after := n.subscriber.World.Revision(); after != before || r.State != nil {
+		n.digest = n.subscriber.World.Digest()
 		n.recorder.Info(recorder.RevisionEnforced, zap.Uint64("revision", uint64(after)))
 		// The next heartbeat reports the revision at once, so that a proof does not wait for the interval.
 		n.heartbeatNow()
--- /dev/null
+++ b/internal/cli/runner/upkeep.go
@@ -0,0 +1,81 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/peridotstage/peridotstage/internal/control/granter"
+	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/front/administrator"
+	"github.com/peridotstage/peridotstage/internal/front/connector"
+	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+const upkeepInterval = 1 * time.Second
+
+// upkeep marks silent upstreams and trims generations from what all control instances have heard.
+type upkeep struct {
+	World     *registrar.World
+	Log       administrator.Log
+	Collector *connector.Collector
+	Authority granter.Authority
+	Recorder  *recorder.Recorder
+
+	// failingSince is when each instance was first out of reach; instances that answer are not in it.
+	failingSince map[registrar.MachineName]time.Time
+}
+
+// run works until ctx ends. Only the instance whose knowledge has no age, which is the leader, does the work.
+func (u *upkeep) run(ctx context.Context) error {
+	u.failingSince = map[registrar.MachineName]time.Time{}
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if age, ok := u.Authority.Vouch(time.Now()); !ok || age > 0 {
+			clear(u.failingSince)
+			continue
+		}
+		u.step(ctx)
+	}
+}
+
+func (u *upkeep) step(ctx context.Context) {
+	instances := u.Collector.Collect(ctx, connector.Question{Brief: true})
+	now := time.Now()
+	if !u.heardAll(now, instances) {
+		return
+	}
+	f := leaser.Upkeep(now, u.World, leaser.Merge(instances))
+	if f.Empty() {
+		return
+	}
+	if _, err := proposeFacts(ctx, u.Log, f); err != nil {
+		// The next round tries again.
+		u.Recorder.Warn(recorder.ProposalFailed, recorder.Err(err))
+	}
+}
+
+// heardAll reports whether each instance has either been running for long enough to have heard its nodes or been out of reach
+// for so long that its nodes have moved to others.
+func (u *upkeep) heardAll(now time.Time, instances []leaser.Instance) bool {
+	all := true
+	for _, i := range instances {
+		if i.Answered {
+			delete(u.failingSince, i.Name)
+			all = all && now.After(i.StartedAt.Add(leaser.SilentAfter))
+			continue
+		}
+		since, ok := u.failingSince[i.Name]
+		if !ok {
+			u.failingSince[i.Name] = now
+		}
+		all = all && ok && now.After(since.Add(leaser.SilentAfter))
+	}
+	return all
+}
--- a/internal/control/granter/granter.go
+++ b/internal/control/granter/granter.go
@@ -2,23 +2,41 @@
 package granter
 
 import (
+	"sync"
 	"time"
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
+const (
+	// newcomerUpdates is how many updates a node without a configuration gets; with more, the full state is smaller.
+	newcomerUpdates = 64
+	// repairInterval bounds how often a node whose digest differs gets the full state. At the design size the state is several
+	// megabytes.
+	repairInterval = 10 * time.Second
+)
+
 // Authority tells whether this instance knows the newest confirmed revision.
 type Authority interface {
 	// Vouch returns how old the knowledge is. ok is false if it is too old to grant leases.
 	Vouch(now time.Time) (age time.Duration, ok bool)
 }
 
-// Proposer writes changes that the system makes itself to the log.
-type Proposer interface {
-	ProposeChanges(changes []registrar.Change) error
+// Announcer writes what nodes announce to the log, batched with other announcements.
+type Announcer interface {
+	// Announce queues facts that one machine reported. It does not wait.
+	Announce(machine registrar.MachineName, f planner.Facts)
+	// Refusal returns why the last announcement of a machine was refused; nil if it was not.
+	Refusal(machine registrar.MachineName) error
+}
+
+// Reporter is told about faults.
+type Reporter interface {
+	DigestDiffers(machine registrar.MachineName, at registrar.Revision)
 }
 
 // Granter answers heartbeats. The exported fields are set before first use.
@@ -27,27 +45,57 @@
 	Publisher *publisher.Publisher
 	Leaser    *leaser.Leaser
 	Authority Authority
-	Proposer  Proposer
+	Announcer Announcer
+	Reporter  Reporter
+
+	digest digestCache
+	// repairMu guards repairedAt, which holds the last repair of each machine whose digest differed.
+	repairMu   sync.Mutex
+	repairedAt map[registrar.MachineName]time.Time
+}
+
+// digestCache holds the digest of the newest revision, because computing it costs a pass over the whole configuration.
+type digestCache struct {
+	mu       sync.Mutex
+	revision registrar.Revision
+	digest   uint64
+}
+
+// at returns the digest of a revision if it is the newest one. It does not wait for another goroutine that computes it.
+func (c *digestCache) at(w *registrar.World, r registrar.Revision) (uint64, bool) {
+	if !c.mu.TryLock() {
+		return 0, false
+	}
+	defer c.mu.Unlock()
+	if newest := w.Revision(); newest != r {
+		return 0, false
+	}
+	if c.revision != r || c.digest == 0 {
+		c.revision, c.digest = w.RevisionDigest()
+	}
+	return c.digest, c.revision == r
 }
 
 // Heartbeat records the heartbeat of a node and returns the reply. The error says why the node's announcement was refused;
 // the reply is valid all the same.
 func (g *Granter) Heartbeat(now time.Time, h leaser.Heartbeat) (subscriber.Reply, error) {
-	changes, refusal := g.Leaser.Changes(now, g.World, h)
-	if len(changes) > 0 {
-		refusal = g.Proposer.ProposeChanges(changes)
+	if f := leaser.Facts(g.World, h); !f.Empty() {
+		g.Announcer.Announce(h.Machine.Name, f)
 	}
-	r := g.reply(now, h.Revision)
-	g.Leaser.Record(now, h, r.Granted)
-	return r, refusal
+	r := g.reply(now, h)
+	r.WantEvidence = g.Leaser.Record(now, h, r.Granted)
+	return r, g.Announcer.Refusal(h.Machine.Name)
 }
 
-func (g *Granter) reply(now time.Time, have registrar.Revision) subscriber.Reply {
+func (g *Granter) reply(now time.Time, h leaser.Heartbeat) subscriber.Reply {
 	// Authority is asked before the revision is read, so that the revision is at least as new as the age says.
 	age, ok := g.Authority.Vouch(now)
 	r := subscriber.Reply{Revision: g.World.Revision(), Age: age, Granted: ok}
-	updates, known := g.Publisher.Since(have, r.Revision)
-	if known {
+	updates, known := g.Publisher.Since(h.Revision, r.Revision)
+	if h.Revision == 0 && len(updates) > newcomerUpdates {
+		known = false
+	}
+	if known && !g.differs(now, h) {
 		r.Updates = updates
 		return r
 	}
@@ -55,3 +103,25 @@
 	r.State, r.Revision = &st, st.Revision
 	return r
 }
+
+// differs reports that the node's configuration is not what it should be, and that it is time to repair it.
+func (g *Granter) differs(now time.Time, h leaser.Heartbeat) bool {
+	if h.Digest == 0 {
+		return false
+	}
+	want, ok := g.digest.at(g.World, h.Revision)
+	if !ok || want == h.Digest {
+		return false
+	}
+	g.repairMu.Lock()
+	defer g.repairMu.Unlock()
+	if last, ok := g.repairedAt[h.Machine.Name]; ok && now.Before(last.Add(repairInterval)) {
+		return false
+	}
+	if g.repairedAt == nil {
+		g.repairedAt = map[registrar.MachineName]time.Time{}
+	}
+	g.repairedAt[h.Machine.Name] = now
+	g.Reporter.DigestDiffers(h.Machine.Name, h.Revision)
+	return true
+}
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -9,16 +9,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rotisserie/eris"
 
+	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-// ErrTaken means that another machine announces the same upstream and its lease is still valid.
-var ErrTaken = eris.New("upstream is announced by another machine")
-
 const shardCount = 16
 
 // SilentAfter is how long an agent may be silent before its upstream gets no new flows.
@@ -37,24 +34,41 @@
 
 // Heartbeat is one report of a node.
 type Heartbeat struct {
-	Machine      registrar.Machine
-	Revision     registrar.Revision
+	Machine  registrar.Machine
+	Revision registrar.Revision
+	// Digest is the hash of the configuration at Revision; 0 if unknown.
+	Digest       uint64
 	Announcement *Announcement
-	Evidence     []counter.Evidence
+	// Evidence was counted after the node began to enforce Revision.
+	Evidence []counter.Evidence
+	// Sequence counts the heartbeats of the node since its start.
+	Sequence uint64
+	// EvidenceBase is the heartbeat that Evidence adds to; 0 if Evidence is complete.
+	EvidenceBase uint64
 	ServeExpired bool
 }
 
-// Session is what a control instance knows about a node.
+// Session is what a control instance knows about one start of a node.
 type Session struct {
 	Heartbeat
 	HeardAt time.Time
 	// LeaseUntil is the latest time at which a lease granted here can still be valid.
 	LeaseUntil time.Time
+	// EvidenceKnown is false if Evidence is not complete.
+	EvidenceKnown bool
 }
 
+const (
+	// keepStarts is how many starts of a machine are remembered at least while they are recent.
+	keepStarts = 4
+	// keepTime is how long the session of an earlier start, or of a machine that has gone, is remembered.
+	keepTime = time.Hour
+)
+
 type shard struct {
-	mu       sync.Mutex
-	sessions map[registrar.MachineName]Session
+	mu sync.Mutex
+	// sessions holds the starts of each machine, the one heard last at the end.
+	sessions map[registrar.MachineName][]Session
 }
 
 // Leaser holds the sessions of one control instance. The zero value is ready for use.
@@ -66,93 +80,117 @@
 	return &l.shards[xxhash.Sum64String(string(name))%shardCount]
 }
 
-// Record stores a heartbeat. If granted is true, the reply to it grants a lease.
-func (l *Leaser) Record(now time.Time, h Heartbeat, granted bool) {
+// Record stores a heartbeat. If granted is true, the reply to it grants a lease. It returns true if the node has to send its
+// evidence in full, because what it sent adds to something that is not known here.
+func (l *Leaser) Record(now time.Time, h Heartbeat, granted bool) (wantEvidence bool) {
 	s := l.shard(h.Machine.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sessions == nil {
-		s.sessions = map[registrar.MachineName]Session{}
+		s.sessions = map[registrar.MachineName][]Session{}
+	}
+	starts := s.sessions[h.Machine.Name]
+	var old Session
+	if i := slices.IndexFunc(starts, func(v Session) bool { return v.Machine.Incarnation == h.Machine.Incarnation }); i >= 0 {
+		old = starts[i]
+		starts = slices.Delete(slices.Clone(starts), i, i+1)
 	}
-	next := Session{Heartbeat: h, HeardAt: now, LeaseUntil: s.sessions[h.Machine.Name].LeaseUntil}
+	next := old.next(now, h)
 	if granted {
 		next.LeaseUntil = now.Add(subscriber.LeaseTime)
 	}
-	s.sessions[h.Machine.Name] = next
+	s.sessions[h.Machine.Name] = append(prune(now, starts), next)
+	return !next.EvidenceKnown
+}
+
+// next returns the session after one more heartbeat.
+func (s Session) next(now time.Time, h Heartbeat) Session {
+	n := Session{Heartbeat: h, HeardAt: now, LeaseUntil: s.LeaseUntil, EvidenceKnown: true}
+	if h.EvidenceBase == 0 {
+		return n
+	}
+	n.EvidenceKnown = s.EvidenceKnown && s.Sequence == h.EvidenceBase
+	n.Evidence = overlay(s.Evidence, h.Evidence)
+	return n
+}
+
+// overlay replaces the counts of the customers that are named in changed. Both lists are sorted by customer.
+func overlay(old, changed []counter.Evidence) []counter.Evidence {
+	if len(changed) == 0 {
+		return old
+	}
+	all := slices.Clone(old)
+	for _, e := range changed {
+		i, found := slices.BinarySearchFunc(all, e.Customer, func(v counter.Evidence, name registrar.CustomerName) int {
+			return cmp.Compare(v.Customer, name)
+		})
+		if found {
+			all[i] = e
+		} else {
+			all = slices.Insert(all, i, e)
+		}
+	}
+	return all
 }
 
-// Session returns the session of a machine.
+// prune forgets earlier starts that are old, or many, and can hold no lease.
+func prune(now time.Time, starts []Session) []Session {
+	extra := len(starts) + 1 - keepStarts
+	return slices.DeleteFunc(slices.Clone(starts), func(s Session) bool {
+		if !now.After(s.LeaseUntil) {
+			return false
+		}
+		extra--
+		return extra >= 0 || now.After(s.HeardAt.Add(keepTime))
+	})
+}
+
+// Session returns the session of the start of a machine that was heard last.
 func (l *Leaser) Session(name registrar.MachineName) (Session, bool) {
 	s := l.shard(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v, ok := s.sessions[name]
-	return v, ok
+	starts := s.sessions[name]
+	if len(starts) == 0 {
+		return Session{}, false
+	}
+	return starts[len(starts)-1], true
 }
 
-// Sessions returns all sessions sorted by machine name.
+// Sessions returns the sessions of all starts sorted by machine name, the newest start of a machine last.
 func (l *Leaser) Sessions() []Session {
 	var all []Session
 	for i := range l.shards {
 		s := &l.shards[i]
 		s.mu.Lock()
-		for _, v := range s.sessions {
-			all = append(all, v)
+		for _, starts := range s.sessions {
+			all = append(all, starts...)
 		}
 		s.mu.Unlock()
 	}
-	slices.SortFunc(all, func(a, b Session) int { return cmp.Compare(a.Machine.Name, b.Machine.Name) })
+	slices.SortStableFunc(all, func(a, b Session) int { return cmp.Compare(a.Machine.Name, b.Machine.Name) })
 	return all
 }
 
-// Changes returns what has to change in the configuration so that it agrees with a heartbeat. It returns ErrTaken if the
-// announced upstream belongs to a machine that still holds a lease.
-func (l *Leaser) Changes(now time.Time, w *registrar.World, h Heartbeat) ([]registrar.Change, error) {
-	var changes []registrar.Change
-	if old, ok := w.Machine(h.Machine.Name); !ok || old != h.Machine {
-		m := h.Machine
-		changes = append(changes, registrar.Change{Kind: registrar.PutMachine, Machine: &m})
+// Facts returns what a heartbeat says that differs from the configuration. The configuration may be older than that of the
+// log, which decides in the end.
+func Facts(w *registrar.World, h Heartbeat) planner.Facts {
+	var f planner.Facts
+	old, _ := w.Machine(h.Machine.Name)
+	if old != h.Machine {
+		f.Machines = append(f.Machines, planner.MachineFact{Machine: h.Machine, Previous: old.Incarnation})
 	}
 	a := h.Announcement
 	if a == nil {
-		return changes, nil
-	}
-	old, had := w.Upstream(a.Upstream)
-	if had && old.Machine != h.Machine.Name {
-		if s, ok := l.Session(old.Machine); ok && now.Before(s.LeaseUntil) {
-			return nil, eris.Wrapf(ErrTaken, "upstream %q, machine %q", a.Upstream, old.Machine)
-		}
+		return f
 	}
-	next := old
-	next.Name, next.Service, next.Zone, next.Machine = a.Upstream, a.Service, h.Machine.Zone, h.Machine.Name
-	next.Slots = a.Slots
-	next.Silent = a.Draining
-	if !had || weightMoved(old.Weight, a.Weight) {
-		next.Weight = a.Weight
+	fact := planner.UpstreamFact{
+		Name: a.Upstream, Service: a.Service, Zone: h.Machine.Zone, Machine: h.Machine.Name,
+		Incarnation: h.Machine.Incarnation, Slots: a.Slots, Weight: a.Weight, Draining: a.Draining,
 	}
-	if next != old {
-		changes = append(changes, registrar.Change{Kind: registrar.PutUpstream, Upstream: &next})
-	}
-	return changes, nil
-}
-
-// weightMoved reports a difference of more than 20%. Smaller ones would move buckets without a gain in balance.
-func weightMoved(old, next registrar.Weight) bool {
-	d := int64(next) - int64(old)
-	return max(d, -d)*5 > int64(old)
-}
-
-// Silent returns the upstreams that have to be marked silent because their agent has not been heard. The caller must have
-// collected sessions for at least SilentAfter.
-func (l *Leaser) Silent(now time.Time, w *registrar.World) []registrar.Change {
-	var changes []registrar.Change
-	for _, u := range w.Upstreams() {
-		s, ok := l.Session(u.Machine)
-		if u.Silent || ok && now.Before(s.HeardAt.Add(SilentAfter)) {
-			continue
-		}
-		u.Silent = true
-		changes = append(changes, registrar.Change{Kind: registrar.PutUpstream, Upstream: &u})
+	u, had := w.Upstream(a.Upstream)
+	if !had || fact.Merge(u, had) != u {
+		f.Upstreams = append(f.Upstreams, fact)
 	}
-	return changes
+	return f
 }
--- /dev/null
+++ b/internal/control/leaser/leaser_test.go
@@ -0,0 +1,140 @@
+package leaser
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
+	"github.com/peridotstage/peridotstage/internal/route/counter"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// TestEvidenceDeltas guards against evidence that differs from what the node counted when heartbeats or replies are lost, the
+// node moves to another instance, or an instance restarts, and against evidence sent again without a change.
+func TestEvidenceDeltas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		leasers := []*Leaser{{}, {}}
+		var reporter subscriber.Reporter
+		counts := make([]counter.Evidence, 12)
+		for i := range counts {
+			counts[i].Customer = registrar.CustomerName(fmt.Sprintf("c%02d", i))
+		}
+		at := 0
+		beat := func() (lost bool) {
+			r := reporter.Next(append([]counter.Evidence(nil), counts...))
+			h := Heartbeat{Machine: entry(1), Sequence: r.Sequence, EvidenceBase: r.Base, Evidence: r.Evidence}
+			if rapid.IntRange(0, 5).Draw(t, "lost") == 0 {
+				lost = true
+			}
+			want := false
+			if !lost || rapid.Bool().Draw(t, "only the reply") {
+				want = leasers[at].Record(t0, h, true)
+			}
+			if lost {
+				at = 1 - at
+				reporter.Restart()
+				return lost
+			}
+			if reporter.Confirm(); want {
+				reporter.Restart()
+			}
+			return lost
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(counts)-1).Draw(t, "customer")
+			counts[i].Passed++
+			if rapid.IntRange(0, 5).Draw(t, "cut") == 0 {
+				counts[i].CutRevision = 40
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				leasers[at] = &Leaser{}
+			}
+			if beat() {
+				continue
+			}
+			s, ok := leasers[at].Session("entry-0")
+			require.True(t, ok)
+			for _, e := range s.Evidence {
+				var i int
+				_, err := fmt.Sscanf(string(e.Customer), "c%d", &i)
+				require.NoError(t, err)
+				if s.EvidenceKnown && counts[i].CutRevision != 0 {
+					require.Equal(t, counts[i], e, "evidence of a cut is not what the node counted")
+				}
+			}
+		}
+		// Without further changes everything arrives, and then nothing is sent any more.
+		for range 6 {
+			for beat() {
+			}
+		}
+		s, _ := leasers[at].Session("entry-0")
+		require.True(t, s.EvidenceKnown)
+		require.Equal(t, counts, s.Evidence)
+		require.Empty(t, reporter.Next(counts).Evidence)
+	})
+}
+
+// TestUpkeep guards against an upstream that stays a member after its agent has gone, and against a generation that is dropped
+// while a flow of it may be open.
+func TestUpkeep(t *testing.T) {
+	w := registrar.NewWorld()
+	apply := func(c ...registrar.Change) {
+		require.NoError(t, w.Apply(registrar.Update{Revision: w.Revision() + 1, Changes: c}))
+	}
+	agent := func(i int) registrar.Machine {
+		return registrar.Machine{Name: registrar.MachineName(fmt.Sprint("agent-", i)), Role: registrar.RoleAgent, Zone: "a"}
+	}
+	upstream := func(i int) registrar.Upstream {
+		return registrar.Upstream{
+			Name: registrar.UpstreamName(fmt.Sprint("u", i)), Service: "s", Zone: "a", Machine: agent(i).Name, Slots: 1, Weight: 1000,
+		}
+	}
+	apply(registrar.Change{Kind: registrar.PutZone, Zone: &registrar.Zone{Name: "a", Region: "r"}},
+		registrar.Change{Kind: registrar.PutService, Service: &registrar.Service{
+			Name: "s", Address: netip.MustParseAddrPort("192.0.2.1:443"), Transport: registrar.TransportQUIC,
+		}})
+	for i := range 3 {
+		m, u := agent(i), upstream(i)
+		apply(registrar.Change{Kind: registrar.PutMachine, Machine: &m},
+			registrar.Change{Kind: registrar.PutUpstream, Upstream: &u})
+	}
+	// The generations are of revisions 2, 3 and 4.
+	session := func(i int, at, oldest registrar.Revision, ago time.Duration) Session {
+		return Session{
+			Heartbeat: Heartbeat{
+				Machine: agent(i), Revision: at,
+				Announcement: &Announcement{Upstream: upstream(i).Name, Service: "s", OldestFlow: oldest},
+			},
+			HeardAt: t0.Add(-ago),
+		}
+	}
+	for name, tc := range map[string]struct {
+		sessions []Session
+		silent   int
+		before   registrar.Revision
+	}{
+		"flows of the first generation": {[]Session{session(0, 4, 2, 0), session(1, 4, 0, 0), session(2, 4, 4, 0)}, 0, 0},
+		"flows of the second":           {[]Session{session(0, 4, 3, 0), session(1, 4, 0, 0), session(2, 4, 4, 0)}, 0, 3},
+		"no flows":                      {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 0), session(2, 4, 0, 0)}, 0, 4},
+		"one agent is behind":           {[]Session{session(0, 3, 0, 0), session(1, 4, 0, 0), session(2, 4, 0, 0)}, 0, 3},
+		"one agent has gone":            {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 11*time.Second), session(2, 4, 0, 0)}, 1, 0},
+		"one agent was never heard":     {[]Session{session(0, 4, 0, 0), session(2, 4, 0, 0)}, 1, 0},
+		"heard 9 s ago":                 {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 9*time.Second), session(2, 4, 0, 0)}, 0, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := Upkeep(t0, w, tc.sessions)
+			require.Len(t, f.Silent, tc.silent)
+			if tc.before == 0 {
+				require.Empty(t, f.Trims)
+				return
+			}
+			require.Equal(t, []registrar.Trim{{Service: "s", Before: tc.before}}, f.Trims)
+		})
+	}
+}
--- /dev/null
+++ b/internal/control/leaser/upkeep.go
@@ -0,0 +1,66 @@
+package leaser
+
+import (
+	"time"
+
+	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// Upkeep returns what the sessions of all control instances say about upstreams that have gone silent and about generations
+// that no flow needs any more. The caller must know the sessions of every instance that may have heard a node within
+// SilentAfter.
+func Upkeep(now time.Time, w *registrar.World, sessions []Session) planner.Facts {
+	newest := map[registrar.MachineName]Session{}
+	for _, s := range sessions {
+		if old, ok := newest[s.Machine.Name]; !ok || s.HeardAt.After(old.HeardAt) {
+			newest[s.Machine.Name] = s
+		}
+	}
+	var f planner.Facts
+	oldest := map[registrar.ServiceName]registrar.Revision{}
+	for _, u := range w.Upstreams() {
+		s, heard := newest[u.Machine]
+		live := heard && now.Before(s.HeardAt.Add(SilentAfter))
+		if !live && (!u.Silent || u.Draining) {
+			m, _ := w.Machine(u.Machine)
+			f.Silent = append(f.Silent, planner.SilentFact{Upstream: u.Name, Machine: u.Machine, Incarnation: m.Incarnation})
+		}
+		if live || !u.Silent {
+			needs(w, oldest, u, s, live)
+		}
+	}
+	for _, s := range w.Services() {
+		if before := oldest[s.Name]; len(s.Generations) > 1 && s.Generations[0].Revision < before {
+			f.Trims = append(f.Trims, registrar.Trim{Service: s.Name, Before: before})
+		}
+	}
+	return f
+}
+
+// needs lowers the oldest generation that a service needs to what one agent reports. An agent that is not heard, or reports
+// about another upstream, may hold flows of any generation.
+func needs(w *registrar.World, oldest map[registrar.ServiceName]registrar.Revision, u registrar.Upstream, s Session, live bool) {
+	var need registrar.Revision
+	if live && s.Announcement != nil && s.Announcement.Upstream == u.Name {
+		need = s.Announcement.OldestFlow
+		if need == 0 {
+			service, _ := w.Service(u.Service)
+			need = generationAt(service, s.Revision)
+		}
+	}
+	if old, ok := oldest[u.Service]; !ok || need < old {
+		oldest[u.Service] = need
+	}
+}
+
+// generationAt returns the newest generation at a revision. New flows of an agent that enforces the revision belong to it.
+func generationAt(s registrar.Service, at registrar.Revision) registrar.Revision {
+	var newest registrar.Revision
+	for _, g := range s.Generations {
+		if g.Revision <= at {
+			newest = g.Revision
+		}
+	}
+	return newest
+}
--- a/internal/control/planner/expand.go
+++ b/internal/control/planner/expand.go
@@ -2,41 +2,71 @@
 
 import (
 	"fmt"
+	"maps"
+	"net/netip"
+	"regexp"
+	"slices"
 
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-// draft collects the parts of a plan.
-type draft struct {
-	changes  []registrar.Change
-	steps    []string
-	affected []string
-	warnings []string
-}
+const allowedName = "1 to 63 letters, digits, dots, underscores and hyphens, beginning with a letter or digit"
 
-func (d *draft) step(c registrar.Change, format string, args ...any) {
-	d.changes = append(d.changes, c)
-	d.steps = append(d.steps, fmt.Sprintf(format, args...))
-}
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
-func (d *draft) affects(format string, args ...any) {
-	d.affected = append(d.affected, fmt.Sprintf(format, args...))
+// objectOf names the one object that each kind of intent takes.
+var objectOf = map[IntentKind]string{
+	AddZone: "zone", ChangeZone: "zone", WithdrawZone: "zone", ReturnZone: "zone", RemoveZone: "zone",
+	AddService: "service", RemoveService: "service",
+	ChangeUpstream: "upstream", RetireUpstream: "upstream", RestoreUpstream: "upstream", RemoveUpstream: "upstream",
+	AddCustomer: "customer", CutCustomer: "customer", RestoreCustomer: "customer", RemoveCustomer: "customer",
+	AddContract: "contract", ChangeContract: "contract", RemoveContract: "contract",
 }
 
-func (d *draft) warn(format string, args ...any) {
-	d.warnings = append(d.warnings, fmt.Sprintf(format, args...))
-}
+// IntentKinds returns all kinds of intent in alphabetical order.
+func IntentKinds() []IntentKind { return slices.Sorted(maps.Keys(objectOf)) }
 
-func invalid(format string, args ...any) *Failure {
-	return &Failure{Code: FailureInvalid, Message: fmt.Sprintf(format, args...)}
+// objects names the objects that an intent has.
+func (in Intent) objects() []string {
+	var names []string
+	for _, o := range []struct {
+		name string
+		set  bool
+	}{
+		{"zone", in.Zone != nil},
+		{"service", in.Service != nil},
+		{"upstream", in.Upstream != nil},
+		{"customer", in.Customer != nil},
+		{"contract", in.Contract != nil},
+	} {
+		if o.set {
+			names = append(names, o.name)
+		}
+	}
+	return names
 }
 
-func notFound(kind, name string) *Failure {
-	return &Failure{Code: FailureNotFound, Message: fmt.Sprintf("%s %q does not exist", kind, name)}
+// check refuses an intent that is not well formed.
+func (in Intent) check() *Failure {
+	object, ok := objectOf[in.Kind]
+	if !ok {
+		return badField("intent.kind", string(in.Kind), "a kind of intent such as add_zone or cut_customer")
+	}
+	if names := in.objects(); !slices.Equal(names, []string{object}) {
+		return badField("intent", fmt.Sprint(names), fmt.Sprintf("exactly the object %q with kind %q", object, in.Kind))
+	}
+	if name := in.Object(); !namePattern.MatchString(name) {
+		return badField("intent."+object+".name", name, allowedName)
+	}
+	return nil
 }
 
-// expand turns an intent into the changes that carry it out.
+// expand turns an intent into the changes that carry it out. It is part of the replicated state machine: equal intents and
+// configurations give equal drafts on every instance.
 func expand(w *registrar.World, in Intent) (*draft, *Failure) {
+	if f := in.check(); f != nil {
+		return nil, f
+	}
 	d := &draft{}
 	var f *Failure
 	switch {
@@ -50,8 +80,6 @@
 		f = d.expandCustomer(w, in.Kind, *in.Customer)
 	case in.Contract != nil:
 		f = d.expandContract(w, in.Kind, *in.Contract)
-	default:
-		f = invalid("intent %q has no object", in.Kind)
 	}
 	if f != nil {
 		return nil, f
@@ -64,34 +92,41 @@
 
 func (d *draft) expandZone(w *registrar.World, kind IntentKind, z registrar.Zone) *Failure {
 	old, had := w.Zone(z.Name)
-	if kind == AddZone {
-		if had {
-			return invalid("zone %q exists", z.Name)
-		}
-		next := registrar.Zone{Name: z.Name, Region: z.Region}
-		d.step(registrar.Change{Kind: registrar.PutZone, Zone: &next}, "add zone %s in region %s", z.Name, z.Region)
-		return nil
-	}
-	if !had {
+	switch {
+	case kind == AddZone && had:
+		return exists("zone", string(z.Name))
+	case kind != AddZone && !had:
 		return notFound("zone", string(z.Name))
+	case (kind == AddZone || kind == ChangeZone) && !namePattern.MatchString(string(z.Region)):
+		return badField("intent.zone.region", string(z.Region), allowedName)
 	}
 	switch kind {
-	case WithdrawZone, ReturnZone:
-		return d.switchZone(w, old, kind == WithdrawZone)
+	case AddZone:
+		next := registrar.Zone{Name: z.Name, Region: z.Region}
+		d.step(registrar.Change{Kind: registrar.PutZone, Zone: &next}, "add zone %s in region %s", z.Name, z.Region)
+	case ChangeZone:
+		if old.Region == z.Region {
+			return badField("intent.zone.region", string(z.Region), "a region other than the present one")
+		}
+		d.step(registrar.Change{Kind: registrar.PutZone, Zone: &registrar.Zone{
+			Name: old.Name, Region: z.Region, Withdrawn: old.Withdrawn, ChangedAt: old.ChangedAt,
+		}}, "move zone %s from region %s to region %s", z.Name, old.Region, z.Region)
 	case RemoveZone:
-		d.step(registrar.Change{Kind: registrar.DeleteZone, Zone: &old}, "remove zone %s", z.Name)
-		return nil
+		d.step(registrar.Change{Kind: registrar.DeleteZone, Zone: &registrar.Zone{Name: z.Name}}, "remove zone %s", z.Name)
+	default:
+		return d.switchZone(w, old, kind == WithdrawZone)
 	}
-	return invalid("kind %q does not take a zone", kind)
+	return nil
 }
 
 func (d *draft) switchZone(w *registrar.World, z registrar.Zone, withdraw bool) *Failure {
 	if z.Withdrawn == withdraw {
-		return invalid("zone %q: withdrawn is already %t", z.Name, withdraw)
+		return badField("intent.zone.name", string(z.Name), fmt.Sprintf("a zone that is not already withdrawn=%t", withdraw))
 	}
 	z.Withdrawn = withdraw
 	if withdraw {
-		d.step(registrar.Change{Kind: registrar.PutZone, Zone: &z}, "withdraw zone %s and end the flows in it", z.Name)
+		d.step(registrar.Change{Kind: registrar.PutZone, Zone: &z},
+			"withdraw zone %s: no packet goes to it any more, and the flows that end in it are given up", z.Name)
 	} else {
 		d.step(registrar.Change{Kind: registrar.PutZone, Zone: &z}, "return zone %s; its upstreams start cold", z.Name)
 	}
@@ -103,139 +138,239 @@
 
 // zoneShare reports how much of a service's capacity a zone carries.
 func (d *draft) zoneShare(w *registrar.World, s registrar.Service, z registrar.Zone, withdraw bool) {
-	var total, inside registrar.Weight
+	inside := func(u registrar.UpstreamView) bool { return u.Zone == z.Name }
 	v, _ := w.View(s.Name)
+	if !slices.ContainsFunc(v.Upstreams, inside) {
+		return
+	}
+	d.touches(w, s.Name)
+	left, some := capacityLeft(v, z.Name, inside)
+	if !some {
+		d.affects("service %s: zone %s carries none of its capacity at present", s.Name, z.Name)
+		return
+	}
+	d.affects("service %s: zone %s carries %d%% of its capacity", s.Name, z.Name, 100-left)
+	d.warnCapacity(s.Name, left, withdraw)
+}
+
+// warnCapacity warns if a plan takes capacity away.
+func (d *draft) warnCapacity(s registrar.ServiceName, left uint64, takes bool) {
+	switch {
+	case !takes:
+	case left == 0:
+		d.warn("service %s: leaves 0%% of capacity; no upstream is left for new flows", s)
+	default:
+		d.warn("service %s: leaves %d%% of capacity", s, left)
+	}
+}
+
+// capacityLeft returns the percentage of a service's capacity that is outside a set of upstreams. It counts zone as in
+// service, because the plan may be the one that returns it. ok is false if the set carries nothing.
+func capacityLeft(v registrar.ServiceView, zone registrar.ZoneName, in func(registrar.UpstreamView) bool) (percent uint64, ok bool) {
+	var total, inside uint64
 	for _, u := range v.Upstreams {
-		if u.Retired || u.Silent || u.ZoneWithdrawn && u.Zone != z.Name {
+		if u.Retired || u.Silent || u.ZoneWithdrawn && u.Zone != zone {
 			continue
 		}
-		total += u.Weight
-		if u.Zone == z.Name {
-			inside += u.Weight
+		total += uint64(u.Weight)
+		if in(u) {
+			inside += uint64(u.Weight)
 		}
 	}
 	if inside == 0 {
-		return
-	}
-	left := 100 * uint64(total-inside) / uint64(total)
-	d.affects("service %s: zone %s carries %d%% of its capacity", s.Name, z.Name, 100-left)
-	if withdraw {
-		d.warn("service %s: leaves %d%% of capacity", s.Name, left)
+		return 0, false
 	}
+	return 100 * (total - inside) / total, true
 }
 
 func (d *draft) expandService(w *registrar.World, kind IntentKind, s registrar.Service) *Failure {
-	old, had := w.Service(s.Name)
+	_, had := w.Service(s.Name)
 	switch {
 	case kind == AddService && had:
-		return invalid("service %q exists", s.Name)
-	case kind == AddService:
-		next := registrar.Service{Name: s.Name, Address: s.Address, Transport: s.Transport}
-		d.step(registrar.Change{Kind: registrar.PutService, Service: &next},
-			"add service %s at %s (%s)", s.Name, s.Address, s.Transport)
-		return nil
-	case kind == RemoveService && had:
-		d.step(registrar.Change{Kind: registrar.DeleteService, Service: &old}, "remove service %s", s.Name)
-		return nil
-	case kind == RemoveService:
+		return exists("service", string(s.Name))
+	case kind == RemoveService && !had:
 		return notFound("service", string(s.Name))
+	case kind == RemoveService:
+		d.step(registrar.Change{Kind: registrar.DeleteService, Service: &registrar.Service{Name: s.Name}},
+			"remove service %s", s.Name)
+		return nil
+	case !s.Address.IsValid() || s.Address.Port() == 0:
+		return badField("intent.service.address", s.Address.String(), "IP:PORT, such as 192.0.2.10:443")
+	case s.Transport != registrar.TransportQUIC && s.Transport != registrar.TransportUDP:
+		return badField("intent.service.transport", string(s.Transport), "quic or udp")
 	}
-	return invalid("kind %q does not take a service", kind)
+	next := registrar.Service{Name: s.Name, Address: s.Address, Transport: s.Transport}
+	d.step(registrar.Change{Kind: registrar.PutService, Service: &next},
+		"add service %s at %s (%s)", s.Name, s.Address, s.Transport)
+	d.warn("service %s: takes no flows until an upstream announces itself and a contract names it", s.Name)
+	return nil
 }
 
 func (d *draft) expandUpstream(w *registrar.World, kind IntentKind, u registrar.Upstream) *Failure {
-	next, had := w.Upstream(u.Name)
+	old, had := w.Upstream(u.Name)
 	if !had {
 		return notFound("upstream", string(u.Name))
 	}
-	d.affects("service %s", next.Service)
+	next := old
+	d.affects("service %s", old.Service)
+	d.touches(w, old.Service)
 	switch kind {
 	case ChangeUpstream:
-		if u.Weight == 0 {
-			return invalid("upstream %q: weight must be at least 1", u.Name)
-		}
-		d.affects("upstream %s: weight %d becomes %d", u.Name, next.Weight, u.Weight)
-		next.Weight = u.Weight
-	case RetireUpstream, RestoreUpstream:
-		retire := kind == RetireUpstream
-		if next.Retired == retire {
-			return invalid("upstream %q: retired is already %t", u.Name, retire)
-		}
-		next.Retired = retire
-		d.warnLastUpstream(w, next)
+		return d.changeWeight(w, old, u.Weight)
 	case RemoveUpstream:
-		d.step(registrar.Change{Kind: registrar.DeleteUpstream, Upstream: &next}, "remove upstream %s", u.Name)
+		if !old.Silent || old.Draining {
+			return badField("intent.upstream.name", string(u.Name),
+				fmt.Sprintf("an upstream that no agent announces any more; machine %s announces it", old.Machine))
+		}
+		d.step(registrar.Change{Kind: registrar.DeleteUpstream, Upstream: &registrar.Upstream{Name: u.Name}},
+			"remove upstream %s of service %s", u.Name, old.Service)
 		return nil
-	default:
-		return invalid("kind %q does not take an upstream", kind)
 	}
-	d.step(registrar.Change{Kind: registrar.PutUpstream, Upstream: &next}, "%s %s", kind, u.Name)
+	retire := kind == RetireUpstream
+	if old.Retired == retire {
+		return badField("intent.upstream.name", string(u.Name), fmt.Sprintf("an upstream that is not already retired=%t", retire))
+	}
+	next.Retired = retire
+	if retire {
+		d.step(registrar.Change{Kind: registrar.PutUpstream, Upstream: &next},
+			"retire upstream %s: it gets no new flows and keeps the ones that it has", u.Name)
+	} else {
+		d.step(registrar.Change{Kind: registrar.PutUpstream, Upstream: &next}, "give upstream %s new flows again", u.Name)
+	}
+	v, _ := w.View(old.Service)
+	if left, ok := capacityLeft(v, "", func(o registrar.UpstreamView) bool { return o.Name == u.Name }); ok {
+		d.warnCapacity(old.Service, left, retire)
+	}
 	return nil
 }
 
-func (d *draft) warnLastUpstream(w *registrar.World, u registrar.Upstream) {
-	if !u.Retired {
-		return
+// changeWeight pins the weight of an upstream, or lets it follow the measured capacity again if weight is 0.
+func (d *draft) changeWeight(w *registrar.World, u registrar.Upstream, weight registrar.Weight) *Failure {
+	next := u
+	next.Pinned = weight != 0
+	if next.Pinned {
+		next.Weight = weight
 	}
-	v, _ := w.View(u.Service)
-	for _, other := range v.Upstreams {
-		if other.Name != u.Name && !other.Retired && !other.Silent && !other.ZoneWithdrawn {
-			return
-		}
+	if next == u {
+		return badField("intent.upstream.weight", fmt.Sprint(weight), "a weight other than the present one")
+	}
+	if !next.Pinned {
+		d.step(registrar.Change{Kind: registrar.PutUpstream, Upstream: &next},
+			"let the weight of upstream %s follow its measured capacity; it is %d", u.Name, u.Weight)
+		return nil
 	}
-	d.warn("service %s: no upstream is left for new flows", u.Service)
+	d.step(registrar.Change{Kind: registrar.PutUpstream, Upstream: &next},
+		"set the weight of upstream %s from %d to %d", u.Name, u.Weight, weight)
+	if weight > registrar.Weight(u.Slots)*registrar.WeightPerSlot {
+		d.warn("upstream %s: weight %d is above its %d slots", u.Name, weight, u.Slots)
+	}
+	return nil
 }
 
 func (d *draft) expandCustomer(w *registrar.World, kind IntentKind, c registrar.Customer) *Failure {
 	old, had := w.Customer(c.Name)
-	if kind == AddCustomer {
-		if had {
-			return invalid("customer %q exists", c.Name)
-		}
+	switch {
+	case kind == AddCustomer && had:
+		return exists("customer", string(c.Name))
+	case kind == AddCustomer:
 		next := registrar.Customer{Name: c.Name}
 		d.step(registrar.Change{Kind: registrar.PutCustomer, Customer: &next}, "add customer %s", c.Name)
+		d.warn("customer %s: its packets are dropped until a contract names its sources", c.Name)
 		return nil
-	}
-	if !had {
+	case !had:
 		return notFound("customer", string(c.Name))
 	}
 	for _, contract := range w.Contracts() {
 		if contract.Customer == c.Name {
-			d.affects("contract %s with service %s", contract.Name, contract.Service)
+			d.affects("contract %s with service %s, sources %v", contract.Name, contract.Service, contract.SourcePrefixes)
+			d.touch(c.Name, contract.Service)
 		}
 	}
-	switch kind {
-	case CutCustomer, RestoreCustomer:
-		cut := kind == CutCustomer
-		if old.Cut == cut {
-			return invalid("customer %q: cut is already %t", c.Name, cut)
-		}
-		old.Cut = cut
-		d.step(registrar.Change{Kind: registrar.PutCustomer, Customer: &old}, "%s %s", kind, c.Name)
-		return nil
-	case RemoveCustomer:
-		d.step(registrar.Change{Kind: registrar.DeleteCustomer, Customer: &old}, "remove customer %s", c.Name)
+	if kind == RemoveCustomer {
+		d.step(registrar.Change{Kind: registrar.DeleteCustomer, Customer: &registrar.Customer{Name: c.Name}},
+			"remove customer %s", c.Name)
+		d.warn("customer %s: no proof can be made after its removal", c.Name)
 		return nil
 	}
-	return invalid("kind %q does not take a customer", kind)
+	cut := kind == CutCustomer
+	if old.Cut == cut {
+		return badField("intent.customer.name", string(c.Name), fmt.Sprintf("a customer that is not already cut=%t", cut))
+	}
+	old.Cut = cut
+	if cut {
+		d.step(registrar.Change{Kind: registrar.PutCustomer, Customer: &old},
+			"cut customer %s: its flows are closed, and new ones are refused", c.Name)
+		d.warn("customer %s: loses all of its traffic", c.Name)
+	} else {
+		d.step(registrar.Change{Kind: registrar.PutCustomer, Customer: &old}, "let traffic of customer %s pass again", c.Name)
+	}
+	return nil
 }
 
 func (d *draft) expandContract(w *registrar.World, kind IntentKind, c registrar.Contract) *Failure {
 	old, had := w.Contract(c.Name)
 	switch {
 	case kind == AddContract && had:
-		return invalid("contract %q exists", c.Name)
-	case (kind == ChangeContract || kind == RemoveContract) && !had:
+		return exists("contract", string(c.Name))
+	case kind != AddContract && !had:
 		return notFound("contract", string(c.Name))
 	case kind == RemoveContract:
+		d.step(registrar.Change{Kind: registrar.DeleteContract, Contract: &registrar.Contract{Name: c.Name}},
+			"remove contract %s", c.Name)
 		d.affects("customer %s, service %s", old.Customer, old.Service)
-		d.step(registrar.Change{Kind: registrar.DeleteContract, Contract: &old}, "remove contract %s", c.Name)
-		return nil
-	case kind == AddContract || kind == ChangeContract:
-		d.affects("customer %s, service %s", c.Customer, c.Service)
-		d.step(registrar.Change{Kind: registrar.PutContract, Contract: &c},
-			"%s %s: customer %s may use service %s from %v", kind, c.Name, c.Customer, c.Service, c.SourcePrefixes)
+		d.touch(old.Customer, old.Service)
+		d.warn("customer %s: loses service %s from %v", old.Customer, old.Service, old.SourcePrefixes)
 		return nil
 	}
-	return invalid("kind %q does not take a contract", kind)
+	if f := checkContract(w, c, old, had); f != nil {
+		return f
+	}
+	// The plan shows the prefixes that will be in force, without host bits.
+	c.SourcePrefixes = slices.Clone(c.SourcePrefixes)
+	for i, p := range c.SourcePrefixes {
+		c.SourcePrefixes[i] = p.Masked()
+	}
+	d.affects("customer %s, service %s", c.Customer, c.Service)
+	d.touch(c.Customer, c.Service)
+	verb := "add"
+	if had {
+		verb = "change"
+		d.warnNarrowed(old, c)
+	}
+	d.step(registrar.Change{Kind: registrar.PutContract, Contract: &c},
+		"%s contract %s: customer %s may use service %s from %v", verb, c.Name, c.Customer, c.Service, c.SourcePrefixes)
+	return nil
+}
+
+func checkContract(w *registrar.World, c, old registrar.Contract, had bool) *Failure {
+	if _, ok := w.Customer(c.Customer); !ok {
+		return notFound("customer", string(c.Customer))
+	}
+	if _, ok := w.Service(c.Service); !ok {
+		return notFound("service", string(c.Service))
+	}
+	if len(c.SourcePrefixes) == 0 {
+		return badField("intent.contract.source_prefixes", "", "at least one prefix, such as 192.0.2.0/24")
+	}
+	if had && old.Service != c.Service {
+		return badField("intent.contract.service", string(c.Service), "the present service, "+string(old.Service))
+	}
+	for i, p := range c.SourcePrefixes {
+		if !p.IsValid() {
+			return badField(fmt.Sprintf("intent.contract.source_prefixes[%d]", i), p.String(), "a prefix, such as 192.0.2.0/24")
+		}
+	}
+	return nil
+}
+
+// warnNarrowed names the customers and sources that a changed contract no longer covers.
+func (d *draft) warnNarrowed(old, next registrar.Contract) {
+	lost := slices.DeleteFunc(slices.Clone(old.SourcePrefixes), func(p netip.Prefix) bool {
+		return old.Customer == next.Customer && slices.Contains(next.SourcePrefixes, p)
+	})
+	if len(lost) == 0 {
+		return
+	}
+	d.touch(old.Customer, old.Service)
+	d.warn("customer %s: loses service %s from %v", old.Customer, old.Service, lost)
 }
--- a/internal/control/planner/intent.go
+++ b/internal/control/planner/intent.go
@@ -10,6 +10,7 @@
 // The kinds of intent.
 const (
 	AddZone         IntentKind = "add_zone"
+	ChangeZone      IntentKind = "change_zone"
 	WithdrawZone    IntentKind = "withdraw_zone"
 	ReturnZone      IntentKind = "return_zone"
 	RemoveZone      IntentKind = "remove_zone"
@@ -44,20 +45,33 @@
 // RequestNumber is chosen by an operator and distinguishes that operator's requests.
 type RequestNumber uint64
 
+// CustomerEffect is a customer whose traffic a plan touches.
+type CustomerEffect struct {
+	Customer registrar.CustomerName  `json:"customer"`
+	Services []registrar.ServiceName `json:"services"`
+	// Percent is the share of the customer's live flows that the plan touches; nil if no flows were known.
+	Percent *int `json:"percent,omitempty"`
+}
+
 // Plan is the list of changes that an intent would make.
 type Plan struct {
 	ID       PlanID                 `json:"id"`
 	Operator registrar.OperatorName `json:"operator"`
-	Intent   Intent                 `json:"intent"`
-	// Base is the revision that the plan was made for. The plan can be confirmed only while no operator's change has come
-	// between.
-	Base     registrar.Revision `json:"base_revision"`
-	Changes  []registrar.Change `json:"changes"`
-	Steps    []string           `json:"steps"`
-	Affected []string           `json:"affected"`
-	Warnings []string           `json:"warnings"`
+	// AtMilli is when the plan was asked for, in Unix milliseconds.
+	AtMilli int64  `json:"at_unix_ms"`
+	Intent  Intent `json:"intent"`
+	// Base is the revision that the plan was made for. The plan can be confirmed only while it would still do exactly what
+	// it shows and no operator's change has come between.
+	Base      registrar.Revision `json:"base_revision"`
+	Changes   []registrar.Change `json:"changes"`
+	Steps     []string           `json:"steps"`
+	Affected  []string           `json:"affected"`
+	Customers []CustomerEffect   `json:"customers"`
+	Warnings  []string           `json:"warnings"`
 	// Confirmed is the revision that the plan was applied as; 0 until then.
 	Confirmed registrar.Revision `json:"confirmed_revision,omitempty"`
+	// ConfirmedBy is the operator whose confirmation applied the plan.
+	ConfirmedBy registrar.OperatorName `json:"confirmed_by,omitempty"`
 }
 
 // CommandKind says what a log entry does.
@@ -81,6 +95,17 @@
 	Intent  *Intent            `json:"intent,omitempty"`
 	Plan    PlanID             `json:"plan,omitempty"`
 	Changes []registrar.Change `json:"changes,omitempty"`
+	// Facts are what the system has observed; set for CommandSystem.
+	Facts *Facts `json:"facts,omitempty"`
+	// Traffic is what was known about customers' flows when a plan was asked for. It is shown, and does not identify the
+	// request.
+	Traffic []Share `json:"traffic,omitempty"`
+}
+
+// Share is the part of a customer's live flows that an intent touches.
+type Share struct {
+	Customer registrar.CustomerName `json:"customer"`
+	Percent  int                    `json:"percent"`
 }
 
 // FailureCode classifies a refusal.
@@ -92,12 +117,20 @@
 	FailureConflict FailureCode = "conflict"
 	FailureStale    FailureCode = "stale"
 	FailureNotFound FailureCode = "not_found"
+	// FailureExpired means that the request is older than the remembered window and may have run before.
+	FailureExpired FailureCode = "expired"
 )
 
 // Failure is a refusal of a command.
 type Failure struct {
 	Code    FailureCode `json:"code"`
 	Message string      `json:"message"`
+	// Field is the field of the request that is at fault; empty if none is.
+	Field string `json:"field,omitempty"`
+	// Value is the refused value of Field.
+	Value string `json:"value,omitempty"`
+	// Allowed says what Field may hold.
+	Allowed string `json:"allowed,omitempty"`
 }
 
 // Error returns the message.
@@ -108,4 +141,6 @@
 	Plan     *Plan              `json:"plan,omitempty"`
 	Revision registrar.Revision `json:"revision"`
 	Failure  *Failure           `json:"failure,omitempty"`
+	// Refusals are the observed facts that contradict the configuration; the others have been applied.
+	Refusals []Refusal `json:"refusals,omitempty"`
 }
--- a/internal/control/planner/ledger.go
+++ b/internal/control/planner/ledger.go
@@ -7,46 +7,33 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-const operatorShards = 16
-
-// requestsPerOperator bounds the remembered requests of one operator. Older ones are answered as conflicts.
-const requestsPerOperator = 1024
-
-// request is the remembered outcome of an operator's request.
-type request struct {
-	Number RequestNumber `json:"number"`
-	// Hash identifies the content of the request.
-	Hash   uint64 `json:"hash"`
-	Result Result `json:"result"`
-}
-
-type operatorShard struct {
-	mu sync.RWMutex
-	// requests are ordered by their position in the log.
-	requests map[registrar.OperatorName][]request
-}
-
 // Listener is told about each update that a log entry made.
 type Listener interface {
 	Add(u registrar.Update)
 	Reset()
 }
 
-// Ledger is the state machine of the replicated log: the configuration, the plans and the requests of operators. Apply and
-// Restore are called by one goroutine; readers may run beside them. The exported fields are set before first use.
+// Ledger is the state machine of the replicated log: the configuration, the plans, the requests of operators and the audit
+// log. Apply and Restore are called by one goroutine; readers may run beside them. The exported fields are set before first
+// use.
 type Ledger struct {
 	World    *registrar.World
 	Listener Listener
 
-	shards [operatorShards]operatorShard
+	memory memory
+	audit  audit
 	planMu sync.RWMutex
-	plans  map[PlanID]Plan
+	// plans holds each plan that a remembered request refers to.
+	plans map[PlanID]Plan
+	// references counts the remembered requests that refer to a plan.
+	references map[PlanID]int
+	// planBytes is the encoded size of plans.
+	planBytes int
 	// nextPlan is the id of the next plan.
 	nextPlan PlanID
 	// operatorRevision is the newest revision that an operator's plan made.
@@ -55,11 +42,9 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(l Listener) *Ledger {
-	return &Ledger{World: registrar.NewWorld(), Listener: l, plans: map[PlanID]Plan{}, nextPlan: 1}
-}
-
-func (l *Ledger) shard(name registrar.OperatorName) *operatorShard {
-	return &l.shards[xxhash.Sum64String(string(name))%operatorShards]
+	return &Ledger{
+		World: registrar.NewWorld(), Listener: l, plans: map[PlanID]Plan{}, references: map[PlanID]int{}, nextPlan: 1,
+	}
 }
 
 // Apply carries out one log entry and returns its Result as JSON. Equal logs give equal states and results.
@@ -80,11 +65,20 @@
 }
 
 func (l *Ledger) apply(c Command) Result {
-	if c.Kind == CommandSystem {
+	switch {
+	case c.Kind == CommandSystem && c.Facts != nil:
+		return l.observe(*c.Facts)
+	case c.Kind == CommandSystem:
 		return l.commit(c.Changes)
 	}
 	hash := contentHash(c)
-	if r, known := l.remembered(c, hash); known {
+	first, known, f := l.memory.find(c, hash)
+	switch {
+	case known:
+		return l.recall(first)
+	case f != nil:
+		r := Result{Revision: l.World.Revision(), Failure: f}
+		l.record(c, r)
 		return r
 	}
 	var r Result
@@ -97,55 +91,80 @@
 		r = Result{Failure: invalid("command kind %q", c.Kind)}
 	}
 	l.remember(c, hash, r)
+	l.record(c, r)
 	return r
 }
 
-func contentHash(c Command) uint64 {
-	c.AtMilli = 0
-	b, err := json.Marshal(c)
-	if err != nil {
-		panic(err)
+// recall returns the first result of a request again.
+func (l *Ledger) recall(q request) Result {
+	r := Result{Revision: q.Revision, Failure: q.Failure}
+	if p, ok := l.Plan(q.Plan); ok {
+		if q.Kind == CommandPlan {
+			p.Confirmed, p.ConfirmedBy = 0, ""
+		}
+		r.Plan = &p
 	}
-	return xxhash.Sum64(b)
+	return r
 }
 
-// remembered returns the first result of a request that was made before.
-func (l *Ledger) remembered(c Command, hash uint64) (Result, bool) {
-	s := l.shard(c.Operator)
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	for _, r := range s.requests[c.Operator] {
-		if r.Number != c.Number {
-			continue
-		}
-		if r.Hash != hash {
-			return Result{Failure: &Failure{
-				Code:    FailureConflict,
-				Message: fmt.Sprintf("operator %q used request number %d for another request", c.Operator, c.Number),
-			}}, true
-		}
-		return r.Result, true
+func (l *Ledger) remember(c Command, hash uint64, r Result) {
+	q := request{Number: c.Number, Hash: hash, Kind: c.Kind, Revision: r.Revision, Failure: r.Failure}
+	if r.Plan != nil {
+		q.Plan = r.Plan.ID
+		l.references[q.Plan]++
+	}
+	l.memory.add(c.Operator, q)
+	for l.memory.total > maxRequests || l.planBytes > maxPlanBytes && l.memory.total > 1 {
+		l.release(l.memory.evict().Plan)
 	}
-	return Result{}, false
 }
 
-func (l *Ledger) remember(c Command, hash uint64, r Result) {
-	s := l.shard(c.Operator)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.requests == nil {
-		s.requests = map[registrar.OperatorName][]request{}
+// release forgets a plan once no remembered request refers to it.
+func (l *Ledger) release(id PlanID) {
+	if id == 0 {
+		return
 	}
-	list := append(s.requests[c.Operator], request{Number: c.Number, Hash: hash, Result: r})
-	if extra := len(list) - requestsPerOperator; extra > 0 {
-		list = slices.Clone(list[extra:])
+	if l.references[id]--; l.references[id] > 0 {
+		return
 	}
-	s.requests[c.Operator] = list
+	delete(l.references, id)
+	l.planMu.Lock()
+	defer l.planMu.Unlock()
+	l.planBytes -= sizeOf(l.plans[id])
+	delete(l.plans, id)
+}
+
+// sizeOf returns the encoded size of a plan without the fields that a confirmation sets.
+func sizeOf(p Plan) int {
+	p.Confirmed, p.ConfirmedBy = 0, ""
+	b, err := json.Marshal(p)
+	if err != nil {
+		panic(err)
+	}
+	return len(b)
+}
+
+func (l *Ledger) record(c Command, r Result) {
+	e := AuditEntry{
+		AtMilli: c.AtMilli, Operator: c.Operator, Number: c.Number, Action: c.Kind, Plan: c.Plan, Revision: r.Revision,
+		Outcome: outcomeDone,
+	}
+	in := c.Intent
+	if r.Plan != nil {
+		e.Plan, in = r.Plan.ID, &r.Plan.Intent
+	}
+	if in != nil {
+		e.Intent, e.Object = in.Kind, in.Object()
+	}
+	if r.Failure != nil {
+		e.Outcome = r.Failure.Code
+	}
+	l.audit.add(e)
 }
 
 func (l *Ledger) plan(c Command) Result {
 	if c.Intent == nil {
-		return Result{Failure: invalid("plan without an intent")}
+		return Result{Revision: l.World.Revision(), Failure: badField("intent", "", "one intent")}
 	}
 	d, f := expand(l.World, *c.Intent)
 	if f != nil {
@@ -153,30 +172,31 @@
 	}
 	l.planMu.Lock()
 	defer l.planMu.Unlock()
-	p := Plan{
-		ID: l.nextPlan, Operator: c.Operator, Intent: *c.Intent, Base: l.World.Revision(),
-		Changes: d.changes, Steps: d.steps, Affected: d.affected, Warnings: d.warnings,
-	}
+	p := d.plan(c.Traffic)
+	p.ID, p.Operator, p.AtMilli, p.Intent, p.Base = l.nextPlan, c.Operator, c.AtMilli, *c.Intent, l.World.Revision()
 	l.nextPlan++
 	l.plans[p.ID] = p
+	l.planBytes += sizeOf(p)
 	return Result{Plan: &p, Revision: p.Base}
 }
 
+// confirm applies a plan if it would still do exactly what it shows. A plan is stale once another operator's plan was
+// confirmed after it was made, or if observed facts (announcements, silence, weights, trims) have changed its changes, steps,
+// affected objects, customers or warnings. Other facts, such as the restart of a machine, leave it valid.
 func (l *Ledger) confirm(c Command) Result {
 	l.planMu.Lock()
 	defer l.planMu.Unlock()
 	p, ok := l.plans[c.Plan]
-	if !ok {
+	switch {
+	case !ok:
 		return Result{Revision: l.World.Revision(), Failure: notFound("plan", fmt.Sprint(c.Plan))}
-	}
-	if p.Confirmed != 0 {
+	case p.Confirmed != 0:
 		return Result{Plan: &p, Revision: p.Confirmed}
 	}
-	if l.operatorRevision > p.Base {
+	if reason := l.stale(p); reason != "" {
 		return Result{Revision: l.World.Revision(), Failure: &Failure{
-			Code: FailureStale,
-			Message: fmt.Sprintf("plan %d was made for revision %d, and revision %d has changed the configuration since",
-				p.ID, p.Base, l.operatorRevision),
+			Code: FailureStale, Field: "plan", Value: fmt.Sprint(p.ID), Allowed: "a plan for the present configuration",
+			Message: fmt.Sprintf("plan %d is stale: %s; ask for a new plan", p.ID, reason),
 		}}
 	}
 	r := l.commit(p.Changes)
@@ -184,13 +204,28 @@
 		r.Failure.Code = FailureStale
 		return r
 	}
-	p.Confirmed = r.Revision
+	p.Confirmed, p.ConfirmedBy = r.Revision, c.Operator
 	l.operatorRevision = r.Revision
 	l.plans[p.ID] = p
 	r.Plan = &p
 	return r
 }
 
+// stale says why a plan would no longer do what it shows; empty if it would.
+func (l *Ledger) stale(p Plan) string {
+	if l.operatorRevision > p.Base {
+		return fmt.Sprintf("it was made for revision %d, and an operator confirmed revision %d since", p.Base, l.operatorRevision)
+	}
+	d, f := expand(l.World, p.Intent)
+	if f != nil {
+		return f.Message
+	}
+	if effectHash(d.plan(nil)) != effectHash(p) {
+		return fmt.Sprintf("at revision %d it would not do what it showed at revision %d", l.World.Revision(), p.Base)
+	}
+	return ""
+}
+
 // commit applies changes as the next revision.
 func (l *Ledger) commit(changes []registrar.Change) Result {
 	u := registrar.Update{Revision: l.World.Revision() + 1, Changes: changes}
@@ -209,7 +244,7 @@
 	return p, ok
 }
 
-// Plans returns all plans ordered by id.
+// Plans returns all remembered plans ordered by id.
 func (l *Ledger) Plans() []Plan {
 	l.planMu.RLock()
 	defer l.planMu.RUnlock()
@@ -220,32 +255,41 @@
 	return plans
 }
 
+// PlansAfter returns up to limit remembered plans with ids above one, ordered by id.
+func (l *Ledger) PlansAfter(after PlanID, limit int) []Plan {
+	l.planMu.RLock()
+	defer l.planMu.RUnlock()
+	var plans []Plan
+	for _, id := range slices.Sorted(maps.Keys(l.plans)) {
+		if id > after && len(plans) < limit {
+			plans = append(plans, l.plans[id])
+		}
+	}
+	return plans
+}
+
+// Audit returns up to limit audit entries after a sequence number.
+func (l *Ledger) Audit(after AuditSequence, limit int) []AuditEntry {
+	return l.audit.page(after, limit)
+}
+
 // snapshot is the encoded form of a ledger.
 type snapshot struct {
-	World            registrar.State                      `json:"world"`
-	Plans            []Plan                               `json:"plans"`
-	NextPlan         PlanID                               `json:"next_plan"`
-	OperatorRevision registrar.Revision                   `json:"operator_revision"`
-	Requests         map[registrar.OperatorName][]request `json:"requests"`
+	World            registrar.State                    `json:"world"`
+	Plans            []Plan                             `json:"plans"`
+	NextPlan         PlanID                             `json:"next_plan"`
+	OperatorRevision registrar.Revision                 `json:"operator_revision"`
+	Operators        map[registrar.OperatorName]history `json:"operators"`
+	Audit            []AuditEntry                       `json:"audit"`
+	AuditLast        AuditSequence                      `json:"audit_last"`
 }
 
-// Snapshot returns the whole state as JSON.
+// Snapshot returns the whole state as JSON. It is called by the goroutine that calls Apply.
 func (l *Ledger) Snapshot() ([]byte, error) {
-	st := snapshot{
-		World: l.World.State(), Plans: l.Plans(), Requests: map[registrar.OperatorName][]request{},
-	}
-	l.planMu.RLock()
-	st.NextPlan, st.OperatorRevision = l.nextPlan, l.operatorRevision
-	l.planMu.RUnlock()
-	for i := range l.shards {
-		s := &l.shards[i]
-		s.mu.RLock()
-		for name, list := range s.requests {
-			st.Requests[name] = slices.Clone(list)
-		}
-		s.mu.RUnlock()
-	}
-	b, err := json.Marshal(st)
+	b, err := json.Marshal(snapshot{
+		World: l.World.State(), Plans: l.Plans(), NextPlan: l.nextPlan, OperatorRevision: l.operatorRevision,
+		Operators: l.memory.all(), Audit: l.audit.page(0, maxAudit), AuditLast: l.audit.last,
+	})
 	return b, eris.Wrap(err, "encode snapshot")
 }
 
@@ -258,28 +302,23 @@
 	if err := l.World.Restore(st.World); err != nil {
 		return eris.Wrap(err, "restore configuration")
 	}
+	l.memory.restore(st.Operators)
+	l.audit.restore(st.Audit, st.AuditLast)
 	l.planMu.Lock()
 	defer l.planMu.Unlock()
-	l.plans = map[PlanID]Plan{}
+	l.plans, l.references, l.planBytes = map[PlanID]Plan{}, map[PlanID]int{}, 0
 	for _, p := range st.Plans {
 		l.plans[p.ID] = p
+		l.planBytes += sizeOf(p)
 	}
-	l.nextPlan, l.operatorRevision = max(st.NextPlan, 1), st.OperatorRevision
-	for i := range l.shards {
-		s := &l.shards[i]
-		s.mu.Lock()
-		s.requests = nil
-		s.mu.Unlock()
-	}
-	for name, list := range st.Requests {
-		s := l.shard(name)
-		s.mu.Lock()
-		if s.requests == nil {
-			s.requests = map[registrar.OperatorName][]request{}
+	for _, h := range st.Operators {
+		for _, q := range h.Requests {
+			if q.Plan != 0 {
+				l.references[q.Plan]++
+			}
 		}
-		s.requests[name] = list
-		s.mu.Unlock()
 	}
+	l.nextPlan, l.operatorRevision = max(st.NextPlan, 1), st.OperatorRevision
 	l.Listener.Reset()
 	return nil
 }
--- a/internal/control/subscriber/subscriber.go
+++ b/internal/control/subscriber/subscriber.go
@@ -28,7 +28,10 @@
 	Granted bool
 	// Updates lead from the revision of the heartbeat to Revision. They are empty if State is set.
 	Updates []registrar.Update
-	State   *registrar.State
+	// State replaces the configuration. At the node's own revision it repairs a configuration whose digest was wrong.
+	State *registrar.State
+	// WantEvidence asks for complete evidence with the next heartbeat.
+	WantEvidence bool
 }
 
 // Enforcer puts a configuration into force on the node.
@@ -54,15 +57,15 @@
 func (s *Subscriber) Accept(sentAt time.Time, r Reply) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.World.Revision()
-	if err := s.apply(r); err != nil {
-		return err
-	}
-	if s.World.Revision() != before {
+	changed, err := s.apply(r)
+	if changed {
 		for _, e := range s.Enforcers {
 			e.Update(s.World)
 		}
 	}
+	if err != nil {
+		return err
+	}
 	if !r.Granted {
 		return nil
 	}
@@ -73,19 +76,21 @@
 	return nil
 }
 
-func (s *Subscriber) apply(r Reply) error {
-	if r.State != nil && r.State.Revision > s.World.Revision() {
-		return s.World.Restore(*r.State)
+// apply reports whether the configuration was changed, which may be so even if a later update fails.
+func (s *Subscriber) apply(r Reply) (changed bool, err error) {
+	if r.State != nil && r.State.Revision >= s.World.Revision() {
+		return true, s.World.Restore(*r.State)
 	}
 	for _, u := range r.Updates {
 		if u.Revision <= s.World.Revision() {
 			continue
 		}
 		if err := s.World.Apply(u); err != nil {
-			return err
+			return changed, err
 		}
+		changed = true
 	}
-	return nil
+	return changed, nil
 }
 
 func (s *Subscriber) extend(until time.Time) {
--- a/internal/fake/measurer/capacity_test.go
+++ b/internal/fake/measurer/capacity_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/peridotstage/peridotstage/internal/control/granter"
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/forwarder"
@@ -139,18 +140,19 @@
 // refuseProposals is a log that must not be used.
 type refuseProposals struct{ t *testing.T }
 
-func (r refuseProposals) ProposeChanges([]registrar.Change) error {
+func (r refuseProposals) Announce(registrar.MachineName, planner.Facts) {
 	r.t.Error("a heartbeat without news was proposed")
-	return nil
 }
 
+func (refuseProposals) Refusal(registrar.MachineName) error { return nil }
+
 // measureHeartbeat gives the cost of heartbeats without news at a control instance, by number of sessions, with encoding.
 func measureHeartbeat(t *testing.T, _ uint64) {
 	for _, n := range []int{600, 1200, 2400, 4800, 7800} {
 		w := buildWorld(t, n)
 		g := &granter.Granter{
 			World: w, Publisher: &publisher.Publisher{}, Leaser: &leaser.Leaser{}, Authority: soleAuthority{},
-			Proposer: refuseProposals{t},
+			Announcer: refuseProposals{t},
 		}
 		beats := make([]leaser.Heartbeat, 0, n)
 		for i := range n / upstreamsPerService * upstreamsPerService {
--- /dev/null
+++ b/internal/front/administrator/customers.go
@@ -0,0 +1,57 @@
+package administrator
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/control/tracer"
+	"github.com/peridotstage/peridotstage/internal/front/connector"
+	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+func (c *call) noCustomer(name registrar.CustomerName) {
+	c.fail(http.StatusNotFound, &planner.Failure{
+		Code: planner.FailureNotFound, Message: fmt.Sprintf("customer %q does not exist", name), Field: "name",
+		Value: string(name), Allowed: "the name of a customer in /v1/customers",
+	})
+}
+
+func (a *Administrator) trace(c *call) {
+	name := registrar.CustomerName(c.request.PathValue("name"))
+	customer, ok := a.Ledger.World.Customer(name)
+	if !ok {
+		c.noCustomer(name)
+		return
+	}
+	instances := a.Collector.Collect(c.request.Context(), connector.Question{Customer: name})
+	c.ok(tracer.New(time.Now(), a.Ledger.World, customer, instances))
+}
+
+func (a *Administrator) proof(c *call) {
+	name := registrar.CustomerName(c.request.PathValue("name"))
+	instances := a.Collector.Collect(c.request.Context(), connector.Question{Customer: name})
+	// The clock is read and the instance vouches before the configuration is read, so that the configuration is as new as the
+	// proof says. Customer and machines come from one copy of it.
+	now := time.Now()
+	_, vouched := a.Authority.Vouch(now)
+	st := a.Ledger.World.State()
+	for _, customer := range st.Customers {
+		if customer.Name != name {
+			continue
+		}
+		p := leaser.Prove(now, leaser.Case{
+			Customer: customer, Revision: st.Revision, Vouched: vouched, Machines: st.Machines, Instances: instances,
+		})
+		a.Recorder.Info(recorder.ProofMade, zap.String("customer", string(name)), zap.String("verdict", string(p.Verdict)),
+			zap.Uint64("revision", uint64(p.Revision)))
+		c.ok(p)
+		return
+	}
+	c.noCustomer(name)
+}
--- a/internal/front/connector/client.go
+++ b/internal/front/connector/client.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", c.Address)
 	}
-	c.conn = drpcconn.New(raw)
+	c.conn = drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})
 	return c.conn, nil
 }
 
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -4,18 +4,23 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/wire/encoder"
 	"github.com/peridotstage/peridotstage/internal/wire/messenger"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // Server takes calls of other machines. The exported fields are set before Run.
@@ -24,6 +29,8 @@
 	TLS     *tls.Config
 	// Heartbeats answers the heartbeats of nodes; nil on machines that do not.
 	Heartbeats HeartbeatHandler
+	// Collector holds the sessions that other control instances ask for; nil on machines that keep none.
+	Collector *Collector
 }
 
 // HeartbeatHandler answers heartbeats.
@@ -35,7 +42,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	mux := drpcmux.New()
 	if s.Heartbeats != nil {
-		if err := messenger.DRPCRegisterControl(mux, &controlService{s.Heartbeats}); err != nil {
+		if err := messenger.DRPCRegisterControl(mux, &controlService{handler: s.Heartbeats, collector: s.Collector}); err != nil {
 			return eris.Wrap(err, "register control service")
 		}
 	}
@@ -45,9 +52,40 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Address)
 	}
-	return eris.Wrap(drpcserver.New(mux).Serve(ctx, ln), "serve calls")
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	return serve(ctx, server, ln)
 }
 
+// serve takes connections until ctx ends. Unlike drpcserver's own loop it hands the connection to the handlers, which have to
+// know the peer's certificate.
+func serve(ctx context.Context, server *drpcserver.Server, ln net.Listener) error {
+	tracker := drpcctx.NewTracker(ctx)
+	defer tracker.Wait()
+	defer tracker.Cancel()
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	for {
+		conn, err := ln.Accept()
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case eris.Is(err, net.ErrClosed):
+			return eris.Wrap(err, "serve calls")
+		case err != nil:
+			// Running out of file descriptors passes.
+			time.Sleep(acceptRetry)
+			continue
+		}
+		tracker.Run(func(ctx context.Context) {
+			// An error ends only this connection, and its peer sees it.
+			_ = server.ServeOne(drpcctx.WithTransport(ctx, conn), conn)
+		})
+	}
+}
+
+// acceptRetry is the wait after a connection could not be accepted.
+const acceptRetry = 100 * time.Millisecond
+
 // ErrPeer means that a peer's certificate was not issued to a machine.
 var ErrPeer = eris.New("peer is not a machine of the system")
 
@@ -58,17 +96,39 @@
 	return nil
 }
 
+// maxMessage bounds a message between machines. The full state at the design size takes several megabytes.
+const maxMessage = 64 << 20
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
+}
+
+// peerName returns the machine that the certificate of a call was issued to. ok is false without TLS, as in tests of handlers.
+func peerName(ctx context.Context) (registrar.MachineName, bool) {
+	transport, _ := drpcctx.Transport(ctx)
+	conn, ok := transport.(*tls.Conn)
+	if !ok {
+		return "", false
+	}
+	name, _ := loader.PeerName(conn.ConnectionState(), loader.HolderMachine)
+	return registrar.MachineName(name), true
+}
+
 // controlService translates calls of messenger.Control.
 type controlService struct {
-	handler HeartbeatHandler
+	handler   HeartbeatHandler
+	collector *Collector
 }
 
 // Heartbeat answers one heartbeat.
-func (s *controlService) Heartbeat(_ context.Context, m *messenger.HeartbeatRequest) (*messenger.HeartbeatReply, error) {
+func (s *controlService) Heartbeat(ctx context.Context, m *messenger.HeartbeatRequest) (*messenger.HeartbeatReply, error) {
 	h, err := encoder.HeartbeatFromMessage(m)
 	if err != nil {
 		return nil, err
 	}
+	if name, ok := peerName(ctx); ok && name != h.Machine.Name {
+		return nil, eris.Wrapf(ErrPeer, "machine %q reports as %q", name, h.Machine.Name)
+	}
 	r, refusal := s.handler.Heartbeat(time.Now(), h)
 	reply, err := encoder.ReplyToMessage(r)
 	if err != nil {
--- /dev/null
+++ b/internal/front/connector/sessions.go
@@ -0,0 +1,115 @@
+package connector
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/route/counter"
+	"github.com/peridotstage/peridotstage/internal/wire/encoder"
+	"github.com/peridotstage/peridotstage/internal/wire/messenger"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// askTime bounds the question to one control instance. An instance that does not answer by then counts as out of reach.
+const askTime = time.Second
+
+// Question selects the evidence of sessions.
+type Question struct {
+	// Customer limits the evidence to one customer; empty for all.
+	Customer registrar.CustomerName
+	// Brief leaves all evidence out.
+	Brief bool
+}
+
+// apply removes the evidence that is not asked for.
+func (q Question) apply(sessions []leaser.Session) []leaser.Session {
+	if q.Customer == "" && !q.Brief {
+		return sessions
+	}
+	for i := range sessions {
+		e := sessions[i].Evidence
+		at := slices.IndexFunc(e, func(v counter.Evidence) bool { return v.Customer == q.Customer })
+		sessions[i].Evidence = nil
+		if at >= 0 && !q.Brief {
+			sessions[i].Evidence = e[at : at+1 : at+1]
+		}
+	}
+	return sessions
+}
+
+// Sessions asks a control instance for its sessions.
+func (c *Client) Sessions(ctx context.Context, q Question) (encoder.Sessions, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return encoder.Sessions{}, err
+	}
+	askedAt := time.Now()
+	reply, err := messenger.NewDRPCControlClient(conn).Sessions(ctx, &messenger.SessionsRequest{
+		Protocol: encoder.Protocol, Customer: string(q.Customer), Brief: q.Brief,
+	})
+	if err != nil {
+		c.closeLocked()
+		return encoder.Sessions{}, eris.Wrapf(err, "ask %s for sessions", c.Address)
+	}
+	return encoder.SessionsFromMessage(askedAt, time.Now(), reply)
+}
+
+// Sessions answers another control instance.
+func (s *controlService) Sessions(_ context.Context, m *messenger.SessionsRequest) (*messenger.SessionsReply, error) {
+	if err := encoder.CheckProtocol(m.GetProtocol()); err != nil {
+		return nil, err
+	}
+	if s.collector == nil {
+		return nil, eris.New("this machine keeps no sessions")
+	}
+	q := Question{Customer: registrar.CustomerName(m.GetCustomer()), Brief: m.GetBrief()}
+	sessions := q.apply(s.collector.Leaser.Sessions())
+	now := time.Now()
+	return encoder.SessionsToMessage(now, encoder.Sessions{Running: now.Sub(s.collector.StartedAt), Sessions: sessions})
+}
+
+// Collector gathers the sessions of all control instances. The exported fields are set before first use.
+type Collector struct {
+	Name      registrar.MachineName
+	StartedAt time.Time
+	Leaser    *leaser.Leaser
+	// Peers are the other control instances.
+	Peers map[registrar.MachineName]*Client
+}
+
+// Collect asks all instances at the same time and returns their answers sorted by name.
+func (c *Collector) Collect(ctx context.Context, q Question) []leaser.Instance {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	all := []leaser.Instance{{
+		Name: c.Name, Answered: true, StartedAt: c.StartedAt, Sessions: q.apply(c.Leaser.Sessions()),
+	}}
+	for name, peer := range c.Peers {
+		wg.Go(func() {
+			i := leaser.Instance{Name: name}
+			if s, err := peer.Sessions(ctx, q); err == nil {
+				i.Answered, i.StartedAt, i.Sessions = true, time.Now().Add(-s.Running), s.Sessions
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, i)
+		})
+	}
+	wg.Wait()
+	slices.SortFunc(all, func(a, b leaser.Instance) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -14,15 +14,19 @@
 
 // The events.
 var (
-	MachineStarted   = Event{1001, "machine started"}
-	MachineStopped   = Event{1002, "machine stopped"}
-	MachineFailed    = Event{1003, "machine failed"}
-	HeartbeatFailed  = Event{2001, "heartbeat failed"}
-	RevisionEnforced = Event{2002, "revision enforced"}
-	AnnounceRefused  = Event{2003, "announcement refused"}
-	ListenFailed     = Event{3001, "cannot listen on service address"}
-	ProposalFailed   = Event{4001, "proposal failed"}
-	RequestServed    = Event{5001, "intent API request served"}
+	MachineStarted      = Event{1001, "machine started"}
+	MachineStopped      = Event{1002, "machine stopped"}
+	MachineFailed       = Event{1003, "machine failed"}
+	HeartbeatFailed     = Event{2001, "heartbeat failed"}
+	RevisionEnforced    = Event{2002, "revision enforced"}
+	AnnounceRefused     = Event{2003, "announcement refused"}
+	ListenFailed        = Event{3001, "cannot listen on service address"}
+	ProposalFailed      = Event{4001, "proposal failed"}
+	OperatorActed       = Event{4201, "operator acted"}
+	AnnouncementsLogged = Event{4202, "announcements logged"}
+	DigestDiffers       = Event{4203, "configuration digest differs"}
+	ProofMade           = Event{4204, "proof made"}
+	RequestServed       = Event{5001, "intent API request served"}
 )
 
 // Recorder writes events.
--- a/internal/route/counter/counter.go
+++ b/internal/route/counter/counter.go
@@ -23,8 +23,10 @@
 	// passedBeforeCut is the value of passed when the newest cut came into force here.
 	passedBeforeCut atomic.Uint64
 	cutAt           atomic.Uint64
-	lastPassed      atomic.Int64
-	liveFlows       atomic.Int64
+	// settledAt is the cut that all routes of the machine enforce.
+	settledAt  atomic.Uint64
+	lastPassed atomic.Int64
+	liveFlows  atomic.Int64
 }
 
 // Pass counts a packet that was passed on at the given time.
@@ -46,6 +48,26 @@
 	}
 }
 
+// settle sets the point from which no packet may pass, once all routes enforce the cut. EnforceCut alone counts packets that
+// another service of the customer passes before its own route is replaced.
+func (c *Customer) settle(at registrar.Revision) {
+	if c.settledAt.Load() == uint64(at) {
+		return
+	}
+	c.EnforceCut(at)
+	c.passedBeforeCut.Store(c.passed.Load())
+	c.settledAt.Store(uint64(at))
+}
+
+// Update settles the cuts of a configuration. It must run after all routes of the machine enforce the configuration.
+func (c *Counter) Update(w *registrar.World) {
+	for _, customer := range w.Customers() {
+		if customer.Cut {
+			c.Customer(customer.Name).settle(customer.CutAt)
+		}
+	}
+}
+
 // Evidence is a copy of the counts of one customer.
 type Evidence struct {
 	Customer        registrar.CustomerName `json:"customer"`
@@ -54,6 +76,8 @@
 	PassedSinceCut  uint64                 `json:"passed_since_cut"`
 	LiveFlows       uint64                 `json:"live_flows"`
 	LastPassedMilli int64                  `json:"last_passed_unix_ms"`
+	// CutRevision is the newest cut that all routes of the machine have enforced; 0 for none.
+	CutRevision registrar.Revision `json:"cut_revision"`
 }
 
 type shard struct {
@@ -100,9 +124,11 @@
 		s := &c.shards[i]
 		s.mu.RLock()
 		for name, v := range s.customers {
+			// The cut is read before the counts, so that counts are never older than the cut that they are reported with.
+			cut := registrar.Revision(v.settledAt.Load())
 			passed := v.passed.Load()
 			e := Evidence{
-				Customer: name, Passed: passed, Dropped: v.dropped.Load(),
+				Customer: name, CutRevision: cut, Passed: passed, Dropped: v.dropped.Load(),
 				LiveFlows: uint64(max(v.liveFlows.Load(), 0)), LastPassedMilli: v.lastPassed.Load(),
 			}
 			if v.cutAt.Load() != 0 {
--- a/internal/wire/encoder/heartbeat.go
+++ b/internal/wire/encoder/heartbeat.go
@@ -37,6 +37,7 @@
 	}
 	m := &messenger.HeartbeatRequest{
 		Protocol: Protocol, Machine: machine, Revision: uint64(h.Revision), LeaseExpiredServes: h.ServeExpired,
+		Sequence: h.Sequence, EvidenceBase: h.EvidenceBase, Digest: h.Digest,
 	}
 	if a := h.Announcement; a != nil {
 		m.Announcement = &messenger.Announcement{
@@ -47,7 +48,7 @@
 	for _, e := range h.Evidence {
 		m.Evidence = append(m.Evidence, &messenger.Evidence{
 			Customer: string(e.Customer), Passed: e.Passed, Dropped: e.Dropped, PassedSinceCut: e.PassedSinceCut,
-			LiveFlows: e.LiveFlows, LastPassed: e.LastPassedMilli,
+			LiveFlows: e.LiveFlows, LastPassed: e.LastPassedMilli, CutRevision: uint64(e.CutRevision),
 		})
 	}
 	return m, nil
@@ -55,7 +56,10 @@
 
 // HeartbeatFromMessage translates a received heartbeat.
 func HeartbeatFromMessage(m *messenger.HeartbeatRequest) (leaser.Heartbeat, error) {
-	h := leaser.Heartbeat{Revision: registrar.Revision(m.GetRevision()), ServeExpired: m.GetLeaseExpiredServes()}
+	h := leaser.Heartbeat{
+		Revision: registrar.Revision(m.GetRevision()), ServeExpired: m.GetLeaseExpiredServes(), Sequence: m.GetSequence(),
+		EvidenceBase: m.GetEvidenceBase(), Digest: m.GetDigest(),
+	}
 	if err := CheckProtocol(m.GetProtocol()); err != nil {
 		return h, err
 	}
@@ -73,6 +77,7 @@
 		h.Evidence = append(h.Evidence, counter.Evidence{
 			Customer: registrar.CustomerName(e.GetCustomer()), Passed: e.GetPassed(), Dropped: e.GetDropped(),
 			PassedSinceCut: e.GetPassedSinceCut(), LiveFlows: e.GetLiveFlows(), LastPassedMilli: e.GetLastPassed(),
+			CutRevision: registrar.Revision(e.GetCutRevision()),
 		})
 	}
 	return h, nil
@@ -82,6 +87,7 @@
 func ReplyToMessage(r subscriber.Reply) (*messenger.HeartbeatReply, error) {
 	m := &messenger.HeartbeatReply{
 		Protocol: Protocol, Revision: uint64(r.Revision), AgeMicros: uint64(r.Age.Microseconds()), Granted: r.Granted,
+		WantEvidence: r.WantEvidence,
 	}
 	for _, u := range r.Updates {
 		b, err := json.Marshal(u)
@@ -103,7 +109,7 @@
 // ReplyFromMessage translates a received reply.
 func ReplyFromMessage(m *messenger.HeartbeatReply) (subscriber.Reply, error) {
 	r := subscriber.Reply{
-		Revision: registrar.Revision(m.GetRevision()), Granted: m.GetGranted(),
+		Revision: registrar.Revision(m.GetRevision()), Granted: m.GetGranted(), WantEvidence: m.GetWantEvidence(),
 		// Rounded up, so that a lease never gains from the encoding.
 		Age: time.Duration(m.GetAgeMicros()+1) * time.Microsecond,
 	}
--- a/internal/world/registrar/object.go
+++ b/internal/world/registrar/object.go
@@ -55,6 +55,11 @@
 	Retired bool `json:"retired,omitempty"`
 	// Silent upstreams have stopped announcing themselves and get no new flows.
 	Silent bool `json:"silent,omitempty"`
+	// Draining is true while a silent upstream's agent carries out a planned stop. The agent may still hold flows, so no
+	// other machine may take the upstream's name over.
+	Draining bool `json:"draining,omitempty"`
+	// Pinned is true if an operator has set Weight. Announcements leave a pinned weight alone.
+	Pinned bool `json:"pinned,omitempty"`
 }
 
 // Machine is one process of the system.
@@ -65,6 +70,8 @@
 	DataAddress    netip.AddrPort `json:"data_address"`
 	ControlAddress netip.AddrPort `json:"control_address"`
 	Incarnation    Incarnation    `json:"incarnation"`
+	// ServesExpired is true if the machine keeps serving without a lease.
+	ServesExpired bool `json:"serves_expired,omitempty"`
 }
 
 // Customer is a party that uses services under contracts.
--- a/internal/world/registrar/world.go
+++ b/internal/world/registrar/world.go
@@ -337,12 +337,19 @@
 
 // Digest returns a hash of the configuration. Equal configurations have equal digests.
 func (w *World) Digest() uint64 {
-	b, err := json.Marshal(w.State())
+	_, digest := w.RevisionDigest()
+	return digest
+}
+
+// RevisionDigest returns the revision and the digest of one and the same configuration.
+func (w *World) RevisionDigest() (Revision, uint64) {
+	st := w.State()
+	b, err := json.Marshal(st)
 	if err != nil {
 		// All fields of State are plain data, so encoding cannot fail.
 		panic(err)
 	}
-	return xxhash.Sum64(b)
+	return st.Revision, xxhash.Sum64(b)
 }
 
 func (w *World) lockAll() {
