Complete the intent API and the command line

The API had no lists, no audit and no document, and its refusals gave only a message. The command printed raw JSON, knew one address, and ended with 1 for every failure, so a script could not tell a stale plan from a lost answer.

--- a/internal/cli/commander/api.go
+++ b/internal/cli/commander/api.go
@@ -2,14 +2,16 @@
 
 import (
 	"bytes"
-	"crypto/rand"
-	"encoding/binary"
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/peridotstage/peridotstage/internal/control/planner"
@@ -18,90 +20,191 @@
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
 )
 
-const apiTimeout = 10 * time.Second
+// apiTimeout bounds the wait for one control instance before the next one is asked. It exceeds the time that an instance waits
+// for the log.
+const apiTimeout = 8 * time.Second
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
 
 // apiFlags say how to reach the intent API.
 type apiFlags struct {
 	app         *app
-	address     *string
+	addresses   *[]string
 	authority   *string
 	certificate *string
 	key         *string
 	number      *uint64
+	output      *string
 }
 
 func newAPIFlags(a *app) *apiFlags {
 	return &apiFlags{
-		app:         a,
-		address:     a.Flag("api", "Address of the intent API, HOST:PORT.").Envar("PERIDOTSTAGE_API").String(),
+		app: a,
+		addresses: a.Flag("api", "Address of the intent API, HOST:PORT; several, repeated or separated by commas, are tried in turn.").
+			Envar("PERIDOTSTAGE_API").Strings(),
 		authority:   a.Flag("authority", "File with the authority's certificate.").Envar("PERIDOTSTAGE_AUTHORITY").String(),
 		certificate: a.Flag("certificate", "File with the operator's certificate.").Envar("PERIDOTSTAGE_CERTIFICATE").String(),
 		key:         a.Flag("key", "File with the operator's private key.").Envar("PERIDOTSTAGE_KEY").String(),
-		number:      a.Flag("number", "Number of this request; repeat it to resend the same request.").Uint64(),
+		number: a.Flag("number", "Number of this request. To resend a request safely, repeat it with its number; by default "+
+			"numbers are taken from the clock.").Uint64(),
+		output: a.Flag("output", "Form of the answer: text or json.").Short('o').Default(outputText).Enum(outputText, outputJSON),
+	}
+}
+
+// list returns the addresses in the order in which they are tried.
+func (f *apiFlags) list() ([]string, error) {
+	var all []string
+	for _, v := range *f.addresses {
+		for _, a := range strings.Split(v, ",") {
+			if a = strings.TrimSpace(a); a != "" {
+				all = append(all, a)
+			}
+		}
+	}
+	if len(all) == 0 {
+		return nil, usageError{errors.New("--api HOST:PORT or PERIDOTSTAGE_API is required")}
+	}
+	return all, nil
+}
+
+// get reads a path and prints the answer.
+func get[T any](f *apiFlags, path string, text func(w *table, v T)) error {
+	_, err := call(f, http.MethodGet, path, nil, text)
+	return err
+}
+
+// call sends a request, prints the answer and returns it.
+func call[T any](f *apiFlags, method, path string, body any, text func(w *table, v T)) (T, error) {
+	var v T
+	out, err := f.send(method, path, body)
+	if err != nil {
+		return v, err
+	}
+	if err := json.Unmarshal(out, &v); err != nil {
+		return v, eris.Wrap(err, "decode answer")
+	}
+	if *f.output == outputJSON {
+		_, err := f.app.out.Write(out)
+		return v, eris.Wrap(err, "print answer")
 	}
+	t := newTable(f.app.out)
+	text(t, v)
+	return v, eris.Wrap(t.Flush(), "print answer")
 }
 
-// call sends one request and prints the answer.
-func (f *apiFlags) call(method, path string, body any) error {
+// send tries the addresses in turn until one answers. A request that changes something has a number, so that it takes effect
+// once even if an instance that did not answer has carried it out.
+func (f *apiFlags) send(method, path string, body any) ([]byte, error) {
+	addresses, err := f.list()
+	if err != nil {
+		return nil, err
+	}
 	keys, err := loader.Load(parser.Keys{Authority: *f.authority, Certificate: *f.certificate, PrivateKey: *f.key})
 	if err != nil {
-		return usageError{err}
+		return nil, usageError{fmt.Errorf("--authority, --certificate, --key: %w", err)}
 	}
-	var in io.Reader
+	var in []byte
 	if body != nil {
-		b, err := json.Marshal(body)
-		if err != nil {
-			return eris.Wrap(err, "encode request")
+		if in, err = json.Marshal(body); err != nil {
+			return nil, eris.Wrap(err, "encode request")
 		}
-		in = bytes.NewReader(b)
 	}
-	req, err := http.NewRequest(method, "https://"+*f.address+path, in)
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: keys.Client}, Timeout: apiTimeout}
+	defer client.CloseIdleConnections()
+	var failures []error
+	for _, a := range addresses {
+		out, err := sendOnce(client, method, "https://"+a+path, in)
+		var exit exitError
+		if err == nil || errors.As(err, &exit) {
+			return out, err
+		}
+		failures = append(failures, fmt.Errorf("%s: %w", a, err))
+	}
+	return nil, exitError{ExitUnknown, fmt.Errorf("no control instance answered: %w", errors.Join(failures...))}
+}
+
+// sendOnce asks one instance. The error is an exitError if the instance has answered.
+func sendOnce(client *http.Client, method, url string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewReader(body))
 	if err != nil {
-		return usageError{err}
+		return nil, usageError{err}
 	}
-	c := http.Client{Transport: &http.Transport{TLSClientConfig: keys.Client}, Timeout: apiTimeout}
-	resp, err := c.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
-		return eris.Wrap(err, "call intent API")
+		return nil, err
 	}
 	defer resp.Body.Close()
 	out, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return eris.Wrap(err, "read answer")
+		return nil, err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return eris.Errorf("%s: %s", resp.Status, bytes.TrimSpace(out))
+	if resp.StatusCode == http.StatusOK {
+		return out, nil
 	}
-	_, err = f.app.out.Write(out)
-	return eris.Wrap(err, "print answer")
+	return nil, refusal(resp, out)
 }
 
-// requestNumber returns the number given by the operator, or a random one.
-func (f *apiFlags) requestNumber() (planner.RequestNumber, error) {
-	if *f.number != 0 {
-		return planner.RequestNumber(*f.number), nil
+// refusal turns an answer that is not a success into an error.
+func refusal(resp *http.Response, out []byte) error {
+	var f administrator.FailureBody
+	if json.Unmarshal(out, &f) != nil || f.Failure == nil {
+		return fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(out))
 	}
-	var b [8]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return 0, eris.Wrap(err, "draw request number")
+	err := fmt.Errorf("%s: %s", f.Failure.Code, f.Failure.Message)
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusInternalServerError, http.StatusBadGateway:
+		return err
+	case http.StatusConflict, http.StatusGone:
+		return exitError{ExitConflict, err}
+	}
+	return exitError{ExitRefused, err}
+}
+
+// requestNumber returns the number given by the operator, or one from the clock. Microseconds grow with each request, as the
+// window of remembered requests needs, and stay exact in JSON readers that use floating point.
+func (f *apiFlags) requestNumber() planner.RequestNumber {
+	if *f.number != 0 {
+		return planner.RequestNumber(*f.number)
 	}
-	return planner.RequestNumber(binary.BigEndian.Uint64(b[:]) >> 11), nil
+	return planner.RequestNumber(time.Now().UnixMicro())
 }
 
 // plan asks for the plan of an intent.
 func (f *apiFlags) plan(in planner.Intent) error {
-	n, err := f.requestNumber()
-	if err != nil {
-		return err
-	}
-	return f.call(http.MethodPost, "/v1/plans", administrator.PlanRequest{Number: n, Intent: in})
+	n := f.requestNumber()
+	_, err := call(f, http.MethodPost, "/v1/plans", administrator.PlanRequest{Number: n, Intent: in}, printResult)
+	return f.resendable(n, err)
 }
 
 // confirm confirms a plan.
 func (f *apiFlags) confirm(id uint64) error {
-	n, err := f.requestNumber()
-	if err != nil {
-		return err
+	n := f.requestNumber()
+	path := fmt.Sprintf("/v1/plans/%d/confirm", id)
+	_, err := call(f, http.MethodPost, path, administrator.ConfirmRequest{Number: n}, printResult)
+	return f.resendable(n, err)
+}
+
+// resendable says how to resend a request whose outcome is not known.
+func (f *apiFlags) resendable(n planner.RequestNumber, err error) error {
+	var exit exitError
+	if errors.As(err, &exit) && exit.code == ExitUnknown {
+		return exitError{ExitUnknown, fmt.Errorf("%w\nthe request may have taken effect; resend it with --number %d", err, n)}
+	}
+	return err
+}
+
+// pageFlags select a page of a list.
+type pageFlags struct {
+	limit *int
+	after *string
+}
+
+func newPageFlags(cmd *kingpin.CmdClause) pageFlags {
+	return pageFlags{
+		limit: cmd.Flag("limit", "Number of lines, at most 1000.").Default("100").Int(),
+		after: cmd.Flag("after", "Start after this one, as the end of the previous page says.").String(),
 	}
-	return f.call(http.MethodPost, fmt.Sprintf("/v1/plans/%d/confirm", id), administrator.ConfirmRequest{Number: n})
 }
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os/signal"
@@ -18,49 +19,120 @@
 	ExitOK      = 0
 	ExitFailure = 1
 	ExitUsage   = 2
+	// ExitRefused means that the request is invalid, forbidden or names something that does not exist.
+	ExitRefused = 3
+	// ExitConflict means that the plan is stale or the request number is used or expired.
+	ExitConflict = 4
+	// ExitUnknown means that no control instance answered; the request may have taken effect.
+	ExitUnknown = 5
+	// ExitNotProved means that a proof does not show that the traffic has stopped.
+	ExitNotProved = 6
 )
 
+const examples = `
+Examples:
+  # Ask for the plan of an intent. Nothing takes effect yet.
+  peridotstage zone withdraw johor-b
+  # Confirm the plan that the answer names, and look at the result.
+  peridotstage confirm 17
+  peridotstage status
+  # Show where a customer's traffic goes, cut the customer off, and prove it.
+  peridotstage trace kilang-maju
+  peridotstage customer cut kilang-maju
+  peridotstage confirm 18
+  peridotstage proof kilang-maju --output json > proof.json
+  # Complete commands in bash.
+  eval "$(peridotstage --completion-script-bash)"
+
+Exit codes:
+  0  done
+  1  failed
+  2  wrong arguments
+  3  refused: invalid, forbidden, or something does not exist
+  4  conflict: the plan is stale, or the request number is used or expired
+  5  no control instance answered; resend with the same --number
+  6  the proof does not show that the traffic has stopped
+`
+
+// usageTemplate adds the examples of a command, or else of the whole program, to the usual help.
+var usageTemplate = kingpin.DefaultUsageTemplate + `{{if .Context.SelectedCommand}}{{.Context.SelectedCommand.HelpLong}}{{else}}` +
+	examples + `{{end}}`
+
 // app is the state that commands share.
 type app struct {
 	*kingpin.Application
 	out, errOut io.Writer
 	api         *apiFlags
+	// acting is true once the arguments have been accepted.
+	acting bool
 }
 
+// exitPanic ends parsing when kingpin asks for the program to end, for example after --help.
+type exitPanic int
+
 // Main runs the command with the given arguments and returns its exit code.
-func Main(args []string, out, errOut io.Writer) int {
-	a := &app{Application: kingpin.New("peridotstage", "A layer-4 load balancer that shows where each customer's traffic goes."), out: out, errOut: errOut}
+func Main(args []string, out, errOut io.Writer) (code int) {
+	a := &app{
+		Application: kingpin.New("peridotstage", "A layer-4 load balancer that shows where each customer's traffic goes."),
+		out:         out, errOut: errOut,
+	}
 	a.HelpFlag.Short('h')
+	a.UsageTemplate(usageTemplate)
 	a.UsageWriter(out)
 	a.ErrorWriter(errOut)
-	status := -1
-	a.Terminate(func(code int) { status = code })
+	a.Terminate(func(code int) { panic(exitPanic(code)) })
+	defer func() {
+		switch r := recover().(type) {
+		case nil:
+		case exitPanic:
+			code = int(r)
+		default:
+			panic(r)
+		}
+	}()
+	a.addCommands()
+	a.Action(func(*kingpin.ParseContext) error {
+		a.acting = true
+		return nil
+	})
+	if _, err := a.Parse(args); err != nil {
+		fmt.Fprintf(errOut, "peridotstage: %v\n", err)
+		if !a.acting {
+			return ExitUsage
+		}
+		return exitCode(err)
+	}
+	return ExitOK
+}
+
+func (a *app) addCommands() {
 	a.api = newAPIFlags(a)
-	addRoles(a)
-	addKeys(a)
-	addZone(a)
-	addService(a)
-	addUpstream(a)
-	addCustomer(a)
-	addContract(a)
-	addConfirm(a)
-	addStatus(a)
-	_, err := a.Parse(args)
-	switch {
-	case status >= 0:
-		return status
-	case err == nil:
-		return ExitOK
+	for _, add := range []func(*app){
+		addZone, addService, addUpstream, addCustomer, addContract, addPlan, addConfirm, addStatus, addTrace, addProof, addAudit,
+		addRoles, addKeys, addVersion,
+	} {
+		add(a)
 	}
-	fmt.Fprintf(errOut, "peridotstage: %v\n", err)
-	return exitCode(err)
 }
 
+// exitError is an error with an exit code of its own.
+type exitError struct {
+	code int
+	error
+}
+
+func (e exitError) Unwrap() error { return e.error }
+
 // usageError is an error in the arguments.
 type usageError struct{ error }
 
 func exitCode(err error) int {
-	if _, ok := err.(usageError); ok {
+	var exit exitError
+	var usage usageError
+	switch {
+	case errors.As(err, &exit):
+		return exit.code
+	case errors.As(err, &usage):
 		return ExitUsage
 	}
 	return ExitFailure
--- a/internal/cli/commander/contract.go
+++ b/internal/cli/commander/contract.go
@@ -11,9 +11,14 @@
 )
 
 func addContract(a *app) {
-	contract := a.Command("contract", "Plan changes of contracts between customers and services.")
+	contract := a.Command("contract", "Plan changes of contracts between customers and services.").HelpLong(`
+Examples:
+  peridotstage contract add maju-orders --customer kilang-maju --service order-desk --source 198.51.100.0/24
+  peridotstage contract list
+`)
 	full := func(verb, help string, kind planner.IntentKind) {
-		cmd := contract.Command(verb, help)
+		cmd := contract.Command(verb, help).HelpLong("\nExamples:\n  peridotstage contract " + verb +
+			" maju-orders --customer kilang-maju --service order-desk --source 198.51.100.0/24\n")
 		name := cmd.Arg("name", "Name of the contract.").Required().String()
 		customer := cmd.Flag("customer", "Customer of the contract.").Required().String()
 		service := cmd.Flag("service", "Service of the contract.").Required().String()
@@ -42,4 +47,7 @@
 			Kind: planner.RemoveContract, Contract: &registrar.Contract{Name: registrar.ContractName(*name)},
 		})
 	})
+	addList(a, contract.Command("list", "List contracts."), "/v1/contracts",
+		[]string{"CONTRACT", "CUSTOMER", "SERVICE", "SOURCES"},
+		func(c registrar.Contract) []any { return []any{c.Name, c.Customer, c.Service, c.SourcePrefixes} })
 }
--- a/internal/cli/commander/customer.go
+++ b/internal/cli/commander/customer.go
@@ -1,9 +1,6 @@
 package commander
 
 import (
-	"net/http"
-	"net/url"
-
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/peridotstage/peridotstage/internal/control/planner"
@@ -11,9 +8,16 @@
 )
 
 func addCustomer(a *app) {
-	customer := a.Command("customer", "Plan changes of customers, and prove where their traffic goes.")
+	customer := a.Command("customer", "Plan changes of customers, and prove where their traffic goes.").HelpLong(`
+Examples:
+  peridotstage customer add kilang-maju
+  peridotstage customer trace kilang-maju
+  # The cut takes effect once its plan is confirmed.
+  peridotstage customer cut kilang-maju
+  peridotstage customer proof kilang-maju
+`)
 	named := func(verb, help string, kind planner.IntentKind) {
-		cmd := customer.Command(verb, help)
+		cmd := customer.Command(verb, help).HelpLong("\nExamples:\n  peridotstage customer " + verb + " kilang-maju\n")
 		name := cmd.Arg("name", "Name of the customer.").Required().String()
 		cmd.Action(func(*kingpin.ParseContext) error {
 			return a.api.plan(planner.Intent{Kind: kind, Customer: &registrar.Customer{Name: registrar.CustomerName(*name)}})
@@ -23,9 +27,8 @@
 	named("cut", "Plan to stop all traffic of a customer.", planner.CutCustomer)
 	named("restore", "Plan to let a customer's traffic pass again.", planner.RestoreCustomer)
 	named("remove", "Plan to remove a customer without contracts.", planner.RemoveCustomer)
-	proof := customer.Command("proof", "Show whether the traffic of a customer has stopped.")
-	name := proof.Arg("name", "Name of the customer.").Required().String()
-	proof.Action(func(*kingpin.ParseContext) error {
-		return a.api.call(http.MethodGet, "/v1/customers/"+url.PathEscape(*name)+"/proof", nil)
-	})
+	addTraceTo(a, customer.Command("trace", "Show where a customer's traffic goes now."))
+	addProofTo(a, customer.Command("proof", "Show whether a customer's traffic has stopped, with the evidence of every node."))
+	addList(a, customer.Command("list", "List customers."), "/v1/customers", []string{"CUSTOMER", "CUT OFF", "CHANGED AT"},
+		func(c registrar.Customer) []any { return []any{c.Name, yes(c.Cut), c.CutAt} })
 }
--- a/internal/cli/commander/service.go
+++ b/internal/cli/commander/service.go
@@ -11,8 +11,18 @@
 )
 
 func addService(a *app) {
-	service := a.Command("service", "Plan changes of services.")
-	add := service.Command("add", "Plan a new service.")
+	service := a.Command("service", "Plan changes of services.").HelpLong(`
+Examples:
+  peridotstage service add order-desk --address 192.0.2.10:443
+  peridotstage service list
+  # A service is removed after its contracts and upstreams.
+  peridotstage service remove order-desk
+`)
+	add := service.Command("add", "Plan a new service.").HelpLong(`
+Examples:
+  peridotstage service add order-desk --address 192.0.2.10:443
+  peridotstage service add telemetry --address 192.0.2.11:5000 --transport udp
+`)
 	name := add.Arg("name", "Name of the service.").Required().String()
 	address := add.Flag("address", "Address that callers use, IP:PORT.").Required().String()
 	transport := add.Flag("transport", "Protocol of callers: quic or udp.").Default(string(registrar.TransportQUIC)).
@@ -33,4 +43,9 @@
 			Kind: planner.RemoveService, Service: &registrar.Service{Name: registrar.ServiceName(*removed)},
 		})
 	})
+	addList(a, service.Command("list", "List services."), "/v1/services",
+		[]string{"SERVICE", "ID", "ADDRESS", "TRANSPORT", "GENERATIONS"},
+		func(s registrar.Service) []any {
+			return []any{s.Name, s.ID, s.Address, s.Transport, len(s.Generations)}
+		})
 }
--- a/internal/cli/commander/zone.go
+++ b/internal/cli/commander/zone.go
@@ -8,17 +8,27 @@
 )
 
 func addZone(a *app) {
-	zone := a.Command("zone", "Plan changes of zones (data centres).")
-	add := zone.Command("add", "Plan a new zone.")
-	name := add.Arg("name", "Name of the zone.").Required().String()
-	region := add.Flag("region", "Region of the zone.").Required().String()
-	add.Action(func(*kingpin.ParseContext) error {
-		return a.api.plan(planner.Intent{Kind: planner.AddZone, Zone: &registrar.Zone{
-			Name: registrar.ZoneName(*name), Region: registrar.RegionName(*region),
-		}})
-	})
+	zone := a.Command("zone", "Plan changes of zones (data centres).").HelpLong(`
+Examples:
+  peridotstage zone add johor-c --region johor
+  # The plan shows which part of each service's capacity is left.
+  peridotstage zone withdraw johor-b
+  peridotstage zone return johor-b
+`)
+	placed := func(verb, help string, kind planner.IntentKind) {
+		cmd := zone.Command(verb, help).HelpLong("\nExamples:\n  peridotstage zone " + verb + " johor-c --region johor\n")
+		name := cmd.Arg("name", "Name of the zone.").Required().String()
+		region := cmd.Flag("region", "Region of the zone.").Required().String()
+		cmd.Action(func(*kingpin.ParseContext) error {
+			return a.api.plan(planner.Intent{Kind: kind, Zone: &registrar.Zone{
+				Name: registrar.ZoneName(*name), Region: registrar.RegionName(*region),
+			}})
+		})
+	}
+	placed("add", "Plan a new zone.", planner.AddZone)
+	placed("change", "Plan to move a zone to another region.", planner.ChangeZone)
 	named := func(verb, help string, kind planner.IntentKind) {
-		cmd := zone.Command(verb, help)
+		cmd := zone.Command(verb, help).HelpLong("\nExamples:\n  peridotstage zone " + verb + " johor-b\n")
 		name := cmd.Arg("name", "Name of the zone.").Required().String()
 		cmd.Action(func(*kingpin.ParseContext) error {
 			return a.api.plan(planner.Intent{Kind: kind, Zone: &registrar.Zone{Name: registrar.ZoneName(*name)}})
@@ -27,4 +37,6 @@
 	named("withdraw", "Plan to take a zone out of service.", planner.WithdrawZone)
 	named("return", "Plan to bring a withdrawn zone back.", planner.ReturnZone)
 	named("remove", "Plan to remove a zone without upstreams.", planner.RemoveZone)
+	addList(a, zone.Command("list", "List zones."), "/v1/zones", []string{"ZONE", "REGION", "WITHDRAWN", "CHANGED AT"},
+		func(z registrar.Zone) []any { return []any{z.Name, z.Region, yes(z.Withdrawn), z.ChangedAt} })
 }
