--- a/internal/cli/commander/api.go
+++ b/internal/cli/commander/api.go
@@ -112,7 +112,7 @@
 			return nil, eris.Wrap(err, "encode request")
 		}
 	}
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: keys.Client}, Timeout: apiTimeout}
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: keys.Client()}, Timeout: apiTimeout}
 	defer client.CloseIdleConnections()
 	var failures []error
 	for _, a := range addresses {
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -109,7 +109,7 @@
 	a.api = newAPIFlags(a)
 	for _, add := range []func(*app){
 		addZone, addService, addUpstream, addCustomer, addContract, addPlan, addConfirm, addStatus, addTrace, addProof, addAudit,
-		addRoles, addKeys, addVersion,
+		addRoles, addCheckSettings, addKeys, addVersion,
 	} {
 		add(a)
 	}
--- a/internal/cli/commander/commander_test.go
+++ b/internal/cli/commander/commander_test.go
@@ -84,7 +84,7 @@
 		Log: &directLog{ledger: ledger}, Ledger: ledger, Collector: oneEntry{}, Authority: leader{}, Recorder: recorder.Discard(),
 	}
 	server := httptest.NewUnstartedServer(a.Handler())
-	server.TLS = keys.Server
+	server.TLS = keys.Server()
 	server.StartTLS()
 	return server, nil
 }
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -73,6 +73,7 @@
 	}).Run)
 	g.run(announcements.run)
 	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: authority, Recorder: rec}).run)
+	g.run(reloadOnHangup(rec, keys))
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
 }
--- a/internal/cli/runner/upkeep.go
+++ b/internal/cli/runner/upkeep.go
@@ -46,8 +46,9 @@
 }
 
 func (u *upkeep) step(ctx context.Context) {
-	instances := u.Collector.Collect(ctx, connector.Question{Brief: true})
+	// Nodes are judged at the time before the question, so that a pause of this process does not make them look silent.
 	now := time.Now()
+	instances := u.Collector.Collect(ctx, connector.Question{Brief: true})
 	if !u.heardAll(now, instances) {
 		return
 	}
--- a/internal/front/administrator/customers.go
+++ b/internal/front/administrator/customers.go
@@ -35,11 +35,12 @@
 
 func (a *Administrator) proof(c *call) {
 	name := registrar.CustomerName(c.request.PathValue("name"))
-	instances := a.Collector.Collect(c.request.Context(), connector.Question{Customer: name})
-	// The clock is read and the instance vouches before the configuration is read, so that the configuration is as new as the
-	// proof says. Customer and machines come from one copy of it.
+	// The proof holds for the moment before the question: whatever was granted or reported until then is in the answers. A later
+	// clock reading would take leases for expired that were renewed while this process did not run.
 	now := time.Now()
-	_, vouched := a.Authority.Vouch(now)
+	instances := a.Collector.Collect(c.request.Context(), connector.Question{Customer: name})
+	_, vouched := a.Authority.Vouch(time.Now())
+	// Customer and machines come from one copy of the configuration.
 	st := a.Ledger.World.State()
 	for _, customer := range st.Customers {
 		if customer.Name != name {
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -14,19 +14,17 @@
 
 // The events.
 var (
-	MachineStarted      = Event{1001, "machine started"}
-	MachineStopped      = Event{1002, "machine stopped"}
-	MachineFailed       = Event{1003, "machine failed"}
-	HeartbeatFailed     = Event{2001, "heartbeat failed"}
-	RevisionEnforced    = Event{2002, "revision enforced"}
-	AnnounceRefused     = Event{2003, "announcement refused"}
-	ListenFailed        = Event{3001, "cannot listen on service address"}
-	ProposalFailed      = Event{4001, "proposal failed"}
-	OperatorActed       = Event{4201, "operator acted"}
-	AnnouncementsLogged = Event{4202, "announcements logged"}
-	DigestDiffers       = Event{4203, "configuration digest differs"}
-	ProofMade           = Event{4204, "proof made"}
-	RequestServed       = Event{5001, "intent API request served"}
+	MachineStarted   = Event{1001, "machine started"}
+	MachineStopped   = Event{1002, "machine stopped"}
+	MachineFailed    = Event{1003, "machine failed"}
+	KeysReloaded     = Event{1101, "key files read again"}
+	ReloadFailed     = Event{1102, "cannot read key files again"}
+	HeartbeatFailed  = Event{2001, "heartbeat failed"}
+	RevisionEnforced = Event{2002, "revision enforced"}
+	AnnounceRefused  = Event{2003, "announcement refused"}
+	ListenFailed     = Event{3001, "cannot listen on service address"}
+	ProposalFailed   = Event{4001, "proposal failed"}
+	RequestServed    = Event{5001, "intent API request served"}
 )
 
 // Recorder writes events.
@@ -62,5 +60,6 @@
 	r.log.Error(e.Message, append(fields, zap.Int("event", e.Number))...)
 }
 
-// Err is the field for an error.
-func Err(err error) zap.Field { return zap.Error(err) }
+// Err is the field for an error. It holds the message without the stack that eris adds, which would be repeated with each
+// failed heartbeat.
+func Err(err error) zap.Field { return zap.String("error", err.Error()) }
