--- /dev/null
+++ b/internal/cli/runner/intent_test.go
@@ -0,0 +1,159 @@
+package runner_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/fake/deployer"
+	"github.com/peridotstage/peridotstage/internal/front/administrator"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// inForce is the promise of the design page about a confirmed change.
+const inForce = 3 * time.Second
+
+func netAddr(a netip.Addr) netip.AddrPort { return netip.AddrPortFrom(a, 0) }
+
+// answer is the outcome of one request.
+type answer struct {
+	status int
+	result planner.Result
+}
+
+// together sends n requests at the same time and returns their answers.
+func together(e *estate, n int, request func(i int) (path string, body any)) []answer {
+	answers := make([]answer, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			path, body := request(i)
+			answers[i].status, _ = e.API(0, http.MethodPost, path, body, &answers[i].result)
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+func addZone(name string) planner.Intent {
+	return planner.Intent{Kind: planner.AddZone, Zone: &registrar.Zone{Name: registrar.ZoneName(name), Region: "johor"}}
+}
+
+// TestOperatorsRace guards against requests with one number that both take effect, and against a plan that is applied twice.
+func TestOperatorsRace(t *testing.T) {
+	e := startEstate(t, 1, nil)
+	const racers = 16
+	names := []string{"north", "south"}
+	answers := together(e, racers, func(i int) (string, any) {
+		return "/v1/plans", administrator.PlanRequest{Number: 5000, Intent: addZone(names[i%2])}
+	})
+	var winner *planner.Plan
+	won := 0
+	for i, a := range answers {
+		if a.status != http.StatusOK {
+			require.Equal(t, http.StatusConflict, a.status)
+			continue
+		}
+		if winner == nil {
+			winner = a.result.Plan
+		}
+		require.Equal(t, names[i%2], string(a.result.Plan.Intent.Zone.Name))
+		require.Equal(t, winner, a.result.Plan, "one number made two plans")
+		won++
+	}
+	require.Equal(t, racers/2, won)
+
+	before := e.Status().Revision
+	path := fmt.Sprintf("/v1/plans/%d/confirm", winner.ID)
+	for _, a := range together(e, racers, func(i int) (string, any) {
+		return path, administrator.ConfirmRequest{Number: planner.RequestNumber(6000 + i%3)}
+	}) {
+		require.Equal(t, http.StatusOK, a.status)
+		require.Equal(t, before+1, a.result.Revision)
+	}
+	require.Equal(t, before+1, e.Status().Revision, "a plan was applied twice")
+
+	// The answer is lost, and the operator resends.
+	for range 3 {
+		var r planner.Result
+		_, err := e.API(0, http.MethodPost, "/v1/plans", administrator.PlanRequest{Number: 7000, Intent: addZone("east")}, &r)
+		require.NoError(t, err)
+		require.Zero(t, r.Plan.Confirmed)
+		_, err = e.API(0, http.MethodPost, fmt.Sprintf("/v1/plans/%d/confirm", r.Plan.ID), administrator.ConfirmRequest{Number: 7001}, &r)
+		require.NoError(t, err)
+		require.Equal(t, before+2, r.Revision)
+	}
+	require.Equal(t, before+2, e.Status().Revision)
+	var page administrator.Page[planner.AuditEntry]
+	_, err := e.API(0, http.MethodGet, "/v1/audit?limit=1000", nil, &page)
+	require.NoError(t, err)
+	seen := map[planner.RequestNumber]int{}
+	for _, a := range page.Items {
+		seen[a.Number]++
+	}
+	require.Equal(t, 1, seen[7000], "a resend is entered as a new action")
+	require.Equal(t, 1+racers/2, seen[5000], "conflicts are not entered")
+}
+
+// enforced returns the revisions that a machine logged as in force, in order.
+func enforced(t *testing.T, log string) []registrar.Revision {
+	var all []registrar.Revision
+	for _, line := range strings.Split(log, "\n") {
+		var e struct {
+			Event    int                `json:"event"`
+			Revision registrar.Revision `json:"revision"`
+		}
+		if json.Unmarshal([]byte(line), &e) == nil && e.Event == 2002 {
+			all = append(all, e.Revision)
+		}
+	}
+	require.NotEmpty(t, all)
+	return all
+}
+
+// TestConfirmedChangeInForce guards promise 10: a confirmed change is in force at every node that can be reached within 3 s,
+// and never reverts, also at a node that was frozen meanwhile.
+func TestConfirmedChangeInForce(t *testing.T) {
+	e := startEstate(t, 3, nil)
+	stop := e.flood()
+	defer func() { stop() }()
+	frozen := e.Process("entry-2")
+	frozen.Freeze()
+	r := e.Carry(planner.Intent{Kind: planner.WithdrawZone, Zone: &registrar.Zone{Name: "johor-b"}})
+	confirmed := time.Now()
+	require.Contains(t, r.Plan.Warnings, "service telemetry: leaves 50% of capacity")
+	require.Eventually(t, func() bool {
+		n := 0
+		for _, node := range e.Status().Nodes {
+			if node.Machine != "entry-2" && node.Revision >= r.Revision {
+				n++
+			}
+		}
+		return n == 4
+	}, time.Until(confirmed.Add(inForce)), 20*time.Millisecond, "the change is not in force within 3 s")
+	time.Sleep(time.Until(confirmed.Add(inForce)))
+	frozen.Thaw()
+	require.Eventually(t, func() bool {
+		for _, node := range e.Status().Nodes {
+			if node.Revision < r.Revision || !node.Leased {
+				return false
+			}
+		}
+		return true
+	}, deployer.WaitTime, 50*time.Millisecond)
+	stop()
+	stop = func() {}
+	for _, name := range []string{"entry-0", "entry-1", "entry-2", "agent-telemetry-0", "agent-telemetry-1"} {
+		require.IsIncreasing(t, enforced(t, e.Log(name)), name)
+	}
+	z := e.Status().Zones[1]
+	require.True(t, z.Withdrawn)
+}
