Run the control instances on a replicated log of their own

Cause: each control instance kept a log of its own in memory (replicator.Local), so a restart lost all changes and instances did not agree.

Package driver owns the timer, the disk and the sends of a member. Proposals on a follower go to the leader.

The leader alone marks upstreams silent. Nodes spread over the instances, so it asks the others for their sessions (package gatherer); status and proofs use the same.

Process tests with three instances: leader killed, leader frozen and thawed, an instance cut off silently for 15 s (leader and follower), restart of all after 300 changes, three disks lost one after the other. They cannot pass before this change, because plans of one instance are unknown at the others.

--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -7,11 +7,12 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/peridotstage/peridotstage/internal/control/driver"
+	"github.com/peridotstage/peridotstage/internal/control/gatherer"
 	"github.com/peridotstage/peridotstage/internal/control/granter"
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
-	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/front/administrator"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
@@ -56,11 +57,6 @@
 	return nil
 }
 
-// soleAuthority vouches always, because a single instance knows every confirmed revision.
-type soleAuthority struct{}
-
-func (soleAuthority) Vouch(time.Time) (time.Duration, bool) { return 0, true }
-
 // Control runs a control instance until ctx ends.
 func Control(ctx context.Context, cfg parser.Control, rec *recorder.Recorder) error {
 	keys, err := loader.Load(cfg.Keys)
@@ -69,40 +65,65 @@
 	}
 	updates := &publisher.Publisher{}
 	ledger := planner.NewLedger(updates)
-	log := &replicator.Local{Machine: ledger}
+	peers := &connector.Peers{TLS: keys.Client, Recorder: rec}
+	log := &driver.Driver{
+		Name: cfg.Name, Folder: cfg.DataFolder, Members: cfg.Members, Machine: ledger, Sender: peers, Forwarder: peers,
+		Recorder: rec,
+	}
+	peers.Addresses = log
+	if err := log.Open(); err != nil {
+		return err
+	}
 	sessions := &leaser.Leaser{}
+	all := &gatherer.Gatherer{Local: sessions, Directory: log, Asker: peers}
 	p := &proposer{log: log}
 	g := newGroup(ctx)
+	g.run(log.Run)
+	g.run(peers.Run)
 	g.run((&connector.Server{
-		Address: cfg.ControlAddress, TLS: keys.Server,
+		Address: cfg.ControlAddress, TLS: keys.Server, Consensus: log, Sessions: sessions,
 		Heartbeats: &granter.Granter{
-			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: soleAuthority{}, Proposer: p,
+			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: log, Proposer: p,
 		},
 	}).Run)
 	g.run((&administrator.Administrator{
 		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Leaser: sessions, Recorder: rec,
+		Gatherer: all, Membership: log,
 	}).Run)
-	g.run(func(ctx context.Context) error { return markSilent(ctx, ledger.World, sessions, p) })
+	g.run(func(ctx context.Context) error { return markSilent(ctx, ledger.World, log, all, p) })
 	g.run(reloadOnHangup(rec, keys))
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
 }
 
-// markSilent takes upstreams that are not heard any more out of new generations.
-func markSilent(ctx context.Context, w *registrar.World, l *leaser.Leaser, p *proposer) error {
-	// A fresh instance has heard nobody yet, so it waits for the first heartbeats.
-	timer := time.NewTimer(leaser.SilentAfter)
-	defer timer.Stop()
+// leadership tells whether this instance is the leader.
+type leadership interface {
+	Leading(now time.Time) bool
+}
+
+// markSilent takes upstreams that no control instance hears any more out of new generations. Only the leader does it.
+func markSilent(ctx context.Context, w *registrar.World, l leadership, all *gatherer.Gatherer, p *proposer) error {
+	ticker := time.NewTicker(silentInterval)
+	defer ticker.Stop()
+	var since time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-timer.C:
-			if changes := l.Silent(now, w); len(changes) > 0 {
+		case now := <-ticker.C:
+			if !l.Leading(now) {
+				since = time.Time{}
+				continue
+			}
+			if since.IsZero() {
+				since = now
+			}
+			changes := all.Silent(ctx, w)
+			// A new leader may not have heard of all nodes yet.
+			if len(changes) > 0 && now.Sub(since) >= leaser.SilentAfter {
 				// A failed proposal is tried again in the next round.
 				_ = p.ProposeChanges(changes)
 			}
-			timer.Reset(silentInterval)
 		}
 	}
 }
--- /dev/null
+++ b/internal/cli/runner/control_test.go
@@ -0,0 +1,371 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/fake/deployer"
+	"github.com/peridotstage/peridotstage/internal/front/administrator"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// inForce is the promise that a confirmed change is in force everywhere.
+const inForce = 3 * time.Second
+
+// failover bounds the time without a leader: the election takes about 1 s, and node leases of 2.5 s must outlast it.
+const failover = 2500 * time.Millisecond
+
+// newControlGroup starts three control instances and two entries.
+func newControlGroup(t *testing.T) *deployer.Deployment {
+	d := deployer.New(t, deployer.Options{
+		Controls: 3, Entries: 2, Region: "johor", Zones: []registrar.ZoneName{"johor-a", "johor-b", "johor-c"},
+	})
+	d.StartAll()
+	d.Configure("estate")
+	return d
+}
+
+var zoneNumber int
+
+// addZone carries out one change and returns the revision that confirmed it.
+func addZone(d *deployer.Deployment) registrar.Revision {
+	zoneNumber++
+	name := registrar.ZoneName(fmt.Sprintf("zone-%d", zoneNumber))
+	return d.Carry(planner.Intent{Kind: planner.AddZone, Zone: &registrar.Zone{Name: name, Region: "johor"}}).Revision
+}
+
+// waitInForce fails the test unless all entries enforce a revision within a time.
+func waitInForce(t *testing.T, d *deployer.Deployment, r registrar.Revision, within time.Duration) {
+	t.Helper()
+	require.Eventually(t, func() bool { return lowest(d.Status(), d.Entries) >= r }, within, 20*time.Millisecond,
+		"revision %d is not in force everywhere", r)
+}
+
+// lowest returns the lowest revision among the nodes that hold a lease; 0 unless all do.
+func lowest(st administrator.Status, nodes int) registrar.Revision {
+	low, n := registrar.Revision(0), 0
+	for _, s := range st.Nodes {
+		if !s.Leased {
+			continue
+		}
+		if n++; low == 0 || s.Revision < low {
+			low = s.Revision
+		}
+	}
+	if n < nodes {
+		return 0
+	}
+	return low
+}
+
+// members returns the members as instance i knows them.
+func members(d *deployer.Deployment, i int) administrator.MembersStatus {
+	var st administrator.MembersStatus
+	_, _ = d.API(i, "GET", "/v1/members", nil, &st)
+	return st
+}
+
+// leader returns the instance that a majority takes for the leader.
+func leader(t *testing.T, d *deployer.Deployment) int {
+	t.Helper()
+	found := -1
+	require.Eventually(t, func() bool {
+		votes := map[int]int{}
+		for i := range d.Controls {
+			for _, m := range members(d, i).Members {
+				var n int
+				if _, err := fmt.Sscanf(string(m.Name), "control-%d", &n); err == nil && m.Leader {
+					votes[n]++
+				}
+			}
+		}
+		for n, v := range votes {
+			if v > d.Controls/2 {
+				found = n
+			}
+		}
+		return found >= 0
+	}, deployer.WaitTime, 50*time.Millisecond, "no leader")
+	return found
+}
+
+func process(d *deployer.Deployment, i int) *deployer.Process {
+	return d.Process(fmt.Sprintf("control-%d", i))
+}
+
+// TestLeaderKilled guards against a failover that outlasts node leases, and against a confirmed change that is lost with
+// its leader.
+func TestLeaderKilled(t *testing.T) {
+	d := newControlGroup(t)
+	for range 2 {
+		before := addZone(d)
+		l := leader(t, d)
+		process(d, l).Kill()
+		start := time.Now()
+		r := addZone(d)
+		require.Greater(t, r, before)
+		require.Less(t, time.Since(start), failover)
+		waitInForce(t, d, r, inForce)
+		d.StartControl(l)
+		waitMember(t, d, l)
+	}
+}
+
+// waitMember waits until instance i answers and knows a leader.
+func waitMember(t *testing.T, d *deployer.Deployment, i int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, m := range members(d, i).Members {
+			if m.Leader {
+				return true
+			}
+		}
+		return false
+	}, deployer.WaitTime, 50*time.Millisecond)
+}
+
+// TestLeaderFrozen guards against a thawed leader that grants leases or confirms changes from the past.
+func TestLeaderFrozen(t *testing.T) {
+	d := newControlGroup(t)
+	l := leader(t, d)
+	process(d, l).Freeze()
+	start := time.Now()
+	r := carryElsewhere(t, d, l)
+	require.Less(t, time.Since(start), failover)
+	waitInForceAt(t, d, (l+1)%3, r)
+	process(d, l).Thaw()
+	require.Eventually(t, func() bool {
+		var st administrator.Status
+		_, err := d.API(l, "GET", "/v1/status", nil, &st)
+		return err == nil && st.Revision >= r && lowest(st, d.Entries) >= r
+	}, inForce, 20*time.Millisecond, "the thawed instance does not catch up")
+	next := addZone(d)
+	require.Greater(t, next, r)
+	waitInForce(t, d, next, inForce)
+}
+
+// TestRestartAfterChanges guards against changes lost or reverted by a restart of all instances after 300 changes.
+func TestRestartAfterChanges(t *testing.T) {
+	d := newControlGroup(t)
+	var last registrar.Revision
+	for range 300 {
+		last = addZone(d)
+	}
+	before := d.Status()
+	for i := range d.Controls {
+		process(d, i).Kill()
+	}
+	for i := range d.Controls {
+		d.StartControl(i)
+	}
+	next := addZone(d)
+	require.Greater(t, next, last)
+	after := d.Status()
+	require.Len(t, after.Zones, len(before.Zones)+1)
+	waitInForce(t, d, next, inForce)
+}
+
+// TestLostDisks guards against changes lost when a second disk is lost right after the first one's place was taken.
+func TestLostDisks(t *testing.T) {
+	d := newControlGroup(t)
+	first := leader(t, d)
+	for _, i := range []int{first, (first + 1) % 3, (first + 2) % 3} {
+		r := addZone(d)
+		lost := identity(t, d, i, 0)
+		process(d, i).Kill()
+		require.NoError(t, os.RemoveAll(filepath.Join(d.Folder, fmt.Sprintf("control-%d", i))))
+		d.StartControl(i)
+		waitRepaired(t, d, i, identity(t, d, i, lost))
+		require.GreaterOrEqual(t, d.Status().Revision, r)
+	}
+	r := addZone(d)
+	waitInForce(t, d, r, inForce)
+}
+
+// waitRepaired waits until the instance with a new disk is a voter and its old identity is gone.
+func waitRepaired(t *testing.T, d *deployer.Deployment, i int, id uint64) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		st := members(d, (i+1)%3).Members
+		if len(st) != 3 {
+			return false
+		}
+		for _, m := range st {
+			if !m.Voter || string(m.Name) == fmt.Sprintf("control-%d", i) && uint64(m.ID) != id {
+				return false
+			}
+		}
+		return true
+	}, deployer.WaitTime, 20*time.Millisecond, "the lost disk is not replaced: %v", members(d, (i+1)%3))
+}
+
+// identity returns the member id of instance i once it is not the old one.
+func identity(t *testing.T, d *deployer.Deployment, i int, old uint64) (id uint64) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		log := d.Log(fmt.Sprintf("control-%d", i))
+		at := strings.LastIndex(log, `"member":`)
+		return at >= 0 && scan(log[at:], &id) && id != old
+	}, deployer.WaitTime, 20*time.Millisecond)
+	return id
+}
+
+func scan(s string, id *uint64) bool {
+	_, err := fmt.Sscanf(s, `"member":%d,`, id)
+	return err == nil
+}
+
+// cutter is a set of proxies between control instances. Each instance reaches each other one through a proxy of its own.
+type cutter struct {
+	t       *testing.T
+	server  *toxiproxy.ApiServer
+	proxies map[[2]int]*toxiproxy.Proxy
+}
+
+// newCutter starts the instances of a deployment with proxies between them, and its entries.
+func newCutter(t *testing.T, d *deployer.Deployment) *cutter {
+	c := &cutter{
+		t: t, server: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
+		proxies: map[[2]int]*toxiproxy.Proxy{},
+	}
+	for i := range d.Controls {
+		s := d.ControlSettings(i)
+		addresses := map[string]netip.AddrPort{}
+		for name, a := range s["members"].(map[string]netip.AddrPort) {
+			addresses[name] = a
+		}
+		for j := range d.Controls {
+			name := fmt.Sprintf("control-%d", j)
+			if j == i {
+				continue
+			}
+			// The proxy listens on the address of the instance that it stands in for, so that certificates fit.
+			listen := netip.AddrPortFrom(d.ControlAddr(j), uint16(7100+i))
+			p := toxiproxy.NewProxy(c.server, fmt.Sprintf("%d-%d", i, j), listen.String(), addresses[name].String())
+			require.NoError(t, p.Start())
+			t.Cleanup(p.Stop)
+			c.proxies[[2]int{i, j}] = p
+			addresses[name] = listen
+		}
+		s["members"] = addresses
+		d.Start("control", fmt.Sprintf("control-%d", i), s)
+	}
+	for i := range d.Entries {
+		d.StartEntry(i)
+	}
+	d.Configure("estate")
+	return c
+}
+
+// silence makes all data between an instance and the others vanish. Connections stay open.
+func (c *cutter) silence(i int) {
+	for link, p := range c.proxies {
+		if link[0] != i && link[1] != i {
+			continue
+		}
+		for _, stream := range []string{"upstream", "downstream"} {
+			_, err := p.Toxics.AddToxicJson(strings.NewReader(
+				fmt.Sprintf(`{"name":%q,"type":"timeout","stream":%q,"attributes":{"timeout":0}}`, "cut-"+stream, stream)))
+			require.NoError(c.t, err)
+		}
+	}
+}
+
+func (c *cutter) heal() {
+	for _, p := range c.proxies {
+		p.Toxics.ResetToxics(context.Background())
+	}
+}
+
+// TestInstanceCutOff guards against an instance that is silently cut off for long: it must not grant leases on old
+// knowledge, the others must go on, and it must neither disturb nor revert anything when it is back.
+func TestInstanceCutOff(t *testing.T) {
+	for _, who := range []string{"leader", "follower"} {
+		t.Run(who, func(t *testing.T) {
+			d := deployer.New(t, deployer.Options{
+				Controls: 3, Entries: 3, Region: "johor", Zones: []registrar.ZoneName{"johor-a", "johor-b", "johor-c"},
+			})
+			c := newCutter(t, d)
+			cut := leader(t, d)
+			if who == "follower" {
+				cut = (cut + 1) % 3
+			}
+			c.silence(cut)
+			start := time.Now()
+			var last registrar.Revision
+			for time.Since(start) < 15*time.Second {
+				r := carryElsewhere(t, d, cut)
+				require.Greater(t, r, last)
+				last = r
+				waitInForceAt(t, d, (cut+1)%3, r)
+			}
+			before := leader(t, d)
+			c.heal()
+			require.Eventually(t, func() bool {
+				var st administrator.Status
+				_, err := d.API(cut, "GET", "/v1/status", nil, &st)
+				return err == nil && st.Revision >= last
+			}, inForce, 20*time.Millisecond, "the instance does not catch up")
+			require.Equal(t, before, leader(t, d), "the returning instance disturbs the leader")
+			require.GreaterOrEqual(t, lowest(d.Status(), d.Entries), last, "an entry went back")
+		})
+	}
+}
+
+// carryElsewhere carries out a change through an instance that is not cut off.
+func carryElsewhere(t *testing.T, d *deployer.Deployment, cut int) registrar.Revision {
+	t.Helper()
+	zoneNumber++
+	plan := administrator.PlanRequest{
+		Number: planner.RequestNumber(1_000_000 + 2*zoneNumber),
+		Intent: planner.Intent{Kind: planner.AddZone, Zone: &registrar.Zone{
+			Name: registrar.ZoneName(fmt.Sprintf("zone-%d", zoneNumber)), Region: "johor",
+		}},
+	}
+	confirm := administrator.ConfirmRequest{Number: plan.Number + 1}
+	var r planner.Result
+	for deadline := time.Now().Add(deployer.WaitTime); ; time.Sleep(50 * time.Millisecond) {
+		// The request numbers make a repetition safe.
+		i := (cut + 1 + zoneNumber%2) % 3
+		_, err := d.API(i, "POST", "/v1/plans", plan, &r)
+		if err == nil {
+			_, err = d.API(i, "POST", fmt.Sprintf("/v1/plans/%d/confirm", r.Plan.ID), confirm, &r)
+		}
+		if err == nil {
+			return r.Revision
+		}
+		require.True(t, time.Now().Before(deadline), "%v", err)
+	}
+}
+
+// waitInForceAt reads the status at an instance that is not cut off.
+func waitInForceAt(t *testing.T, d *deployer.Deployment, i int, r registrar.Revision) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		var st administrator.Status
+		_, err := d.API(i, "GET", "/v1/status", nil, &st)
+		return err == nil && enforced(st, d.Entries, r)
+	}, inForce, 20*time.Millisecond, "revision %d is not in force everywhere", r)
+}
+
+// enforced reports whether the entries' newest known revisions have reached r.
+func enforced(st administrator.Status, nodes int, r registrar.Revision) bool {
+	n := 0
+	for _, s := range st.Nodes {
+		if s.Role == registrar.RoleEntry && s.Revision >= r {
+			n++
+		}
+	}
+	return n >= nodes
+}
--- a/internal/front/administrator/administrator.go
+++ b/internal/front/administrator/administrator.go
@@ -40,6 +40,9 @@
 	Ledger   *planner.Ledger
 	Leaser   *leaser.Leaser
 	Recorder *recorder.Recorder
+	// Gatherer and Membership belong to the control log.
+	Gatherer   Gatherer
+	Membership Membership
 }
 
 // Run serves requests until ctx ends.
@@ -65,6 +68,8 @@
 	mux.HandleFunc("POST /v1/plans", a.createPlan)
 	mux.HandleFunc("POST /v1/plans/{id}/confirm", a.confirmPlan)
 	mux.HandleFunc("GET /v1/status", a.status)
+	mux.HandleFunc("GET /v1/members", a.members)
+	mux.HandleFunc("POST /v1/members", a.changeMembers)
 	mux.HandleFunc("GET /v1/customers/{name}/proof", a.proof)
 	return mux
 }
@@ -212,7 +217,7 @@
 	now := time.Now()
 	world := a.Ledger.World
 	st := Status{Revision: world.Revision(), Zones: world.Zones(), Services: world.Services(), Upstream: world.Upstreams()}
-	for _, s := range a.Leaser.Sessions() {
+	for _, s := range a.sessions(r.Context()) {
 		st.Nodes = append(st.Nodes, NodeStatus{
 			Machine: s.Machine.Name, Role: s.Machine.Role, Zone: s.Machine.Zone, Revision: s.Revision,
 			Leased: now.Before(s.LeaseUntil),
@@ -230,5 +235,5 @@
 		writeFailure(w, http.StatusNotFound, &planner.Failure{Code: planner.FailureNotFound, Message: "customer does not exist"})
 		return
 	}
-	writeJSON(w, http.StatusOK, leaser.Prove(time.Now(), customer, a.Ledger.World.Machines(), a.Leaser.Sessions()))
+	writeJSON(w, http.StatusOK, leaser.Prove(time.Now(), customer, a.Ledger.World.Machines(), a.sessions(r.Context())))
 }
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -25,6 +25,10 @@
 	TLS func() *tls.Config
 	// Heartbeats answers the heartbeats of nodes; nil on machines that do not.
 	Heartbeats HeartbeatHandler
+	// Consensus takes messages of other control instances; nil on machines that are none.
+	Consensus ConsensusHandler
+	// Sessions is asked by other control instances; it is set together with Consensus.
+	Sessions SessionSource
 }
 
 // HeartbeatHandler answers heartbeats.
@@ -40,6 +44,11 @@
 			return eris.Wrap(err, "register control service")
 		}
 	}
+	if s.Consensus != nil {
+		if err := messenger.DRPCRegisterConsensus(mux, &consensusService{s.Consensus, s.Sessions}); err != nil {
+			return eris.Wrap(err, "register consensus service")
+		}
+	}
 	cfg := &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 		next := s.TLS()
 		next.VerifyConnection = verifyMachine
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -14,17 +14,25 @@
 
 // The events.
 var (
-	MachineStarted   = Event{1001, "machine started"}
-	MachineStopped   = Event{1002, "machine stopped"}
-	MachineFailed    = Event{1003, "machine failed"}
-	KeysReloaded     = Event{1101, "key files read again"}
-	ReloadFailed     = Event{1102, "cannot read key files again"}
-	HeartbeatFailed  = Event{2001, "heartbeat failed"}
-	RevisionEnforced = Event{2002, "revision enforced"}
-	AnnounceRefused  = Event{2003, "announcement refused"}
-	ListenFailed     = Event{3001, "cannot listen on service address"}
-	ProposalFailed   = Event{4001, "proposal failed"}
-	RequestServed    = Event{5001, "intent API request served"}
+	MachineStarted    = Event{1001, "machine started"}
+	MachineStopped    = Event{1002, "machine stopped"}
+	MachineFailed     = Event{1003, "machine failed"}
+	KeysReloaded      = Event{1101, "key files read again"}
+	ReloadFailed      = Event{1102, "cannot read key files again"}
+	HeartbeatFailed   = Event{2001, "heartbeat failed"}
+	RevisionEnforced  = Event{2002, "revision enforced"}
+	AnnounceRefused   = Event{2003, "announcement refused"}
+	ListenFailed      = Event{3001, "cannot listen on service address"}
+	ProposalFailed    = Event{4001, "proposal failed"}
+	LogOpened         = Event{4100, "control log opened"}
+	LeadGained        = Event{4101, "leadership gained"}
+	LeadLost          = Event{4102, "leadership lost"}
+	MembersChanged    = Event{4103, "membership of the control log changed"}
+	SnapshotTaken     = Event{4104, "snapshot taken"}
+	SnapshotInstalled = Event{4105, "snapshot installed"}
+	PeerSilent        = Event{4106, "control instance does not answer"}
+	PeerHeard         = Event{4107, "control instance answers again"}
+	RequestServed     = Event{5001, "intent API request served"}
 )
 
 // Recorder writes events.
--- a/internal/store/journaler/journal.go
+++ b/internal/store/journaler/journal.go
@@ -273,3 +273,12 @@
 	defer d.Close()
 	return eris.Wrap(d.Sync(), "sync folder")
 }
+
+// Exists reports whether the folder holds a segment.
+func (j *Journal) Exists() (bool, error) {
+	if _, err := os.Stat(j.Folder); os.IsNotExist(err) {
+		return false, nil
+	}
+	ids, err := j.list()
+	return len(ids) > 0, err
+}
