--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,12 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-const expireInterval = 5 * time.Second
+const (
+	expireInterval = 5 * time.Second
+	// leaveTime is within how long a leaving upstream gets no new work (design page, section 2).
+	leaveTime = 3 * time.Second
+	leavePoll = 50 * time.Millisecond
+)
 
 // openAdmitter admits all flows.
 type openAdmitter struct{}
@@ -43,7 +49,7 @@
 	}
 	counts := &counter.Counter{}
 	t := &tracker.Tracker{
-		Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
+		Machine: cfg.Name, Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
 		Stamper: keys.Stamper,
 	}
 	r := &responder.Responder{
@@ -52,15 +58,30 @@
 		Handler:     &responder.Passer{Upstream: cfg.UpstreamAddress, Transport: &http.Transport{}},
 		Upstream:    cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
 	}
-	var draining atomic.Bool
+	var stopped atomic.Bool
 	n.subscriber.Enforcers = []subscriber.Enforcer{t, r}
 	n.describe = func(h *leaser.Heartbeat) {
 		h.Evidence = counts.Evidence()
 		h.Announcement = &leaser.Announcement{
 			Upstream: cfg.Upstream, Service: cfg.Service, Slots: cfg.Slots,
 			Weight:     registrar.Weight(cfg.Slots) * registrar.WeightPerSlot,
-			OldestFlow: t.Stats().Oldest, Draining: draining.Load(),
+			OldestFlow: t.Stats().Oldest, Draining: n.stopping.Load(),
+		}
+		if stopped.Load() {
+			h.Announcement.OldestFlow = 0
+		}
+	}
+	e, err := newExporter(cfg.Machine, func(now time.Time) error {
+		if _, ok := t.Self(); !ok {
+			return errUnknownUpstream
 		}
+		return n.ready(now, n.subscriber.World.Revision())
+	})
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(n.export(e, counts), exportFlows(e, t)); err != nil {
+		return err
 	}
 	if err := r.Run(); err != nil {
 		return err
@@ -69,24 +90,41 @@
 	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
 	g.run(reloadOnHangup(rec, keys, pair))
-	g.run(func(ctx context.Context) error { return expireFlows(ctx, t) })
+	g.run(e.Run)
+	g.run(func(ctx context.Context) error { return expireFlows(ctx, t, r) })
 	rec.Info(recorder.MachineStarted)
 	select {
 	case <-ctx.Done():
 	case <-g.ctx.Done():
 		return g.wait()
 	}
-	draining.Store(true)
+	n.stopping.Store(true)
+	rec.Info(recorder.StopBegun)
 	n.heartbeatNow()
+	awaitNoNewFlows(g, t)
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(cfg.Drain))
 	defer cancel()
 	err = r.Shutdown(drain)
+	// Control learns that no flows are left here, so that chains leave this agent out at once.
+	stopped.Store(true)
+	n.lastHeartbeat(drain)
 	g.cancel(nil)
 	_ = g.wait()
 	return eris.Wrap(err, "drain")
 }
 
-func expireFlows(ctx context.Context, t *tracker.Tracker) error {
+// awaitNoNewFlows waits until the configuration gives new flows to other upstreams and the entries have had time to get it.
+// Until then the agent passes new flows on, which would be lost after its end.
+func awaitNoNewFlows(g *group, t *tracker.Tracker) {
+	for deadline := time.Now().Add(leaveTime); time.Now().Before(deadline) && g.ctx.Err() == nil; g.pause(leavePoll) {
+		if u, ok := t.Self(); !ok || u.Draining || u.Silent {
+			g.pause(2 * heartbeatInterval)
+			return
+		}
+	}
+}
+
+func expireFlows(ctx context.Context, t *tracker.Tracker, r *responder.Responder) error {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
@@ -95,6 +133,7 @@
 			return nil
 		case now := <-ticker.C:
 			t.Expire(now)
+			r.Notify()
 		}
 	}
 }
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -77,6 +77,18 @@
 	sessions := &leaser.Leaser{}
 	all := &gatherer.Gatherer{Local: sessions, Directory: log, Asker: peers}
 	p := &proposer{log: log}
+	e, err := newExporter(cfg.Machine, func(time.Time) error {
+		if ctx.Err() != nil {
+			return errStopping
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if err := exportControl(e, ledger.World, sessions); err != nil {
+		return err
+	}
 	g := newGroup(ctx)
 	g.run(log.Run)
 	g.run(peers.Run)
@@ -92,6 +104,7 @@
 	}).Run)
 	g.run(func(ctx context.Context) error { return markSilent(ctx, ledger.World, log, all, p) })
 	g.run(reloadOnHangup(rec, keys))
+	g.run(e.Run)
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
 }
--- a/internal/route/carrier/carrier.go
+++ b/internal/route/carrier/carrier.go
@@ -2,11 +2,17 @@
 package carrier
 
 import (
+	"errors"
 	"net/netip"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
+// ErrVersion means that a datagram has an unknown format version.
+var ErrVersion = eris.New("unknown datagram version")
+
 // Kind says which way a datagram travels.
 type Kind byte
 
@@ -16,6 +22,8 @@
 	Forward Kind = 1
 	// Answer carries an upstream's datagram from an agent to an entry.
 	Answer Kind = 2
+	// Notice tells the owner of a bucket that the agent that sends it holds a flow of the bucket.
+	Notice Kind = 3
 )
 
 // Flags modify a forwarded datagram.
@@ -31,12 +39,18 @@
 	Direct
 )
 
+// MaxAsked bounds how often a datagram is passed from agent to agent. It covers the longest chain, the way back to the
+// owner, the second choice, and a few extra hops between agents at different revisions.
+const MaxAsked = 12
+
 // Header describes a datagram between machines.
 type Header struct {
-	Kind Kind
-	// Hops counts how often the datagram has been passed from agent to agent.
-	Hops  uint8
+	Kind  Kind
 	Flags Flags
+	// asked lists the agents that have had the datagram, in order. It ends loops between agents whose revisions, and so
+	// whose chains, differ.
+	asked  [MaxAsked]registrar.UpstreamID
+	nAsked uint8
 	// Service and Target are checked by the receiver against its own configuration.
 	Service registrar.ServiceID
 	Target  registrar.UpstreamID
@@ -50,6 +64,35 @@
 // Has reports whether all given flags are set.
 func (h *Header) Has(f Flags) bool { return h.Flags&f == f }
 
+// Hops counts how often the datagram has been passed from agent to agent.
+func (h *Header) Hops() int { return int(h.nAsked) }
+
+// Asked returns the agent at position i of those that have had the datagram.
+func (h *Header) Asked(i int) registrar.UpstreamID { return h.asked[i] }
+
+// HasAsked reports whether an agent has had the datagram.
+func (h *Header) HasAsked(u registrar.UpstreamID) bool {
+	for _, a := range h.asked[:h.nAsked] {
+		if a == u {
+			return true
+		}
+	}
+	return false
+}
+
+// AddAsked adds an agent to those that have had the datagram. It returns false if there is no room.
+func (h *Header) AddAsked(u registrar.UpstreamID) bool {
+	if h.nAsked == MaxAsked {
+		return false
+	}
+	h.asked[h.nAsked] = u
+	h.nAsked++
+	return true
+}
+
+// ResetAsked removes all agents from those that have had the datagram.
+func (h *Header) ResetAsked() { h.nAsked = 0 }
+
 // DropReason says why a datagram was not passed.
 type DropReason uint8
 
@@ -70,6 +113,7 @@
 	DropRefused
 	DropBadSeal
 	DropQueueFull
+	DropBadVersion
 	dropReasonCount
 )
 
@@ -78,7 +122,15 @@
 
 var dropNames = [DropReasonCount]string{
 	"passed", "unknown_service", "no_lease", "no_contract", "cut", "malformed", "no_upstream", "wrong_service",
-	"wrong_target", "zone_withdrawn", "unknown_flow", "hop_limit", "refused", "bad_seal", "queue_full",
+	"wrong_target", "zone_withdrawn", "unknown_flow", "hop_limit", "refused", "bad_seal", "queue_full", "bad_version",
+}
+
+// Refusal returns the reason for a datagram that could not be parsed because of err.
+func Refusal(err error) DropReason {
+	if errors.Is(err, ErrVersion) {
+		return DropBadVersion
+	}
+	return DropBadSeal
 }
 
 // String returns the snake-case name of the reason.
