--- a/internal/cli/runner/version_test.go
+++ b/internal/cli/runner/version_test.go
@@ -25,7 +25,8 @@
 func TestMixedVersions(t *testing.T) {
 	d := small(t)
 	d.StartControl(0)
-	d.Status()
+	// An instance grants leases only once it has been elected.
+	require.Eventually(t, func() bool { return d.Status().Vouched }, deployer.WaitTime, deployer.PollTime)
 	m, err := loader.Load(parser.Keys{
 		Authority: d.KeyFile(issuer.AuthorityFile), Certificate: d.KeyFile("entry-0.pem"), PrivateKey: d.KeyFile("entry-0.key"),
 	})
