Report service-level burn

Agents count requests by customer in HDR histograms and send what is new every 5 s with a heartbeat: counts between 13 latency bounds, as varints, for at most 50 customers a batch. A full batch costs less than 1 KB/s of the 3 KB/s budget, which a test holds. A batch keeps its number until a control instance confirms it, so lost heartbeats and replies neither lose nor repeat requests at one instance. An agent that stops as planned sends a final batch.

Control instances keep 6 h in slots of 30 s for each service and customer and judge them with the two alert rules of the SRE Workbook, chapter 5: 14.4 over 5 min and 1 h, 6 over 30 min and 6 h. report burn asks one or more instances and writes text, JSON or a page with plots; it exits with status 1 while an alert condition holds. A line whose data does not cover the window is unknown, with the agent that data is missing of, never ok.

Whole histograms were ruled out for the wire: a customer would cost kilobytes a batch.

--- a/internal/cli/commander/api.go
+++ b/internal/cli/commander/api.go
@@ -43,37 +43,46 @@
 
 // call sends one request and prints the answer.
 func (f *apiFlags) call(method, path string, body any) error {
+	out, err := f.fetch(method, *f.address, path, body)
+	if err != nil {
+		return err
+	}
+	_, err = f.app.out.Write(out)
+	return eris.Wrap(err, "print answer")
+}
+
+// fetch sends one request to the intent API at an address and returns the answer.
+func (f *apiFlags) fetch(method, address, path string, body any) ([]byte, error) {
 	keys, err := loader.Load(parser.Keys{Authority: *f.authority, Certificate: *f.certificate, PrivateKey: *f.key})
 	if err != nil {
-		return usageError{err}
+		return nil, usageError{err}
 	}
 	var in io.Reader
 	if body != nil {
 		b, err := json.Marshal(body)
 		if err != nil {
-			return eris.Wrap(err, "encode request")
+			return nil, eris.Wrap(err, "encode request")
 		}
 		in = bytes.NewReader(b)
 	}
-	req, err := http.NewRequest(method, "https://"+*f.address+path, in)
+	req, err := http.NewRequest(method, "https://"+address+path, in)
 	if err != nil {
-		return usageError{err}
+		return nil, usageError{err}
 	}
 	c := http.Client{Transport: &http.Transport{TLSClientConfig: keys.Client()}, Timeout: apiTimeout}
 	resp, err := c.Do(req)
 	if err != nil {
-		return eris.Wrap(err, "call intent API")
+		return nil, eris.Wrap(err, "call intent API")
 	}
 	defer resp.Body.Close()
 	out, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return eris.Wrap(err, "read answer")
+		return nil, eris.Wrap(err, "read answer")
 	}
 	if resp.StatusCode != http.StatusOK {
-		return eris.Errorf("%s: %s", resp.Status, bytes.TrimSpace(out))
+		return nil, eris.Errorf("%s: %s", resp.Status, bytes.TrimSpace(out))
 	}
-	_, err = f.app.out.Write(out)
-	return eris.Wrap(err, "print answer")
+	return out, nil
 }
 
 // requestNumber returns the number given by the operator, or a random one.
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -46,6 +46,7 @@
 	addContract(a)
 	addConfirm(a)
 	addStatus(a)
+	addReport(a)
 	_, err := a.Parse(args)
 	switch {
 	case status >= 0:
--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -12,6 +12,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/responder"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
@@ -47,6 +48,7 @@
 		return err
 	}
 	counts := &counter.Counter{}
+	meter := &burner.Meter{StartedAt: time.Now()}
 	t := &tracker.Tracker{
 		Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
 		Stamper: keys.Stamper,
@@ -54,12 +56,16 @@
 	r := &responder.Responder{
 		Tracker: t, Counter: counts, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey, DataAddress: cfg.DataAddress,
 		Certificate: &tls.Config{GetCertificate: pair.Get, MinVersion: tls.VersionTLS13},
-		Handler:     &responder.Passer{Upstream: cfg.UpstreamAddress, Transport: &http.Transport{}},
-		Upstream:    cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
+		Handler: &meteredHandler{
+			next: &responder.Passer{Upstream: cfg.UpstreamAddress, Transport: &http.Transport{}}, meter: meter, customers: t,
+		},
+		Upstream: cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
 	}
 	n.subscriber.Enforcers = []subscriber.Enforcer{t, r}
+	n.confirmBurn = meter.Confirm
 	n.describe = func(h *leaser.Heartbeat) {
 		h.Evidence = counts.Evidence()
+		h.Burn = meter.Batch(time.Now())
 		h.Announcement = &leaser.Announcement{
 			Upstream: cfg.Upstream, Service: cfg.Service, Slots: cfg.Slots,
 			Weight:     registrar.Weight(cfg.Slots) * registrar.WeightPerSlot,
@@ -75,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	if err := errors.Join(n.export(e, counts), exportFlows(e, t)); err != nil {
+	if err := errors.Join(n.export(e, counts), exportRequests(e, t, meter)); err != nil {
 		return err
 	}
 	if err := r.Run(); err != nil {
@@ -100,6 +106,7 @@
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(cfg.Drain))
 	defer cancel()
 	err = r.Shutdown(drain)
+	sendFinalBatch(g, n, meter)
 	g.cancel(nil)
 	_ = g.wait()
 	return eris.Wrap(err, "drain")
--- /dev/null
+++ b/internal/cli/runner/burn.go
@@ -0,0 +1,147 @@
+package runner
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
+	"github.com/peridotstage/peridotstage/internal/front/connector"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
+	"github.com/peridotstage/peridotstage/internal/report/exporter"
+	"github.com/peridotstage/peridotstage/internal/setting/parser"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// finalBatchTime allows for one failed heartbeat.
+const finalBatchTime = 2 * heartbeatTimeout
+
+// customers names the customer of a source address.
+type customers interface {
+	Allowed(addr netip.Addr) (registrar.CustomerName, bool)
+}
+
+// meteredHandler counts the requests that the next handler serves.
+type meteredHandler struct {
+	next      http.Handler
+	meter     *burner.Meter
+	customers customers
+}
+
+// ServeHTTP serves one request. A request that its caller gave up counts only if it was answered before.
+func (h *meteredHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	rec := &statusWriter{ResponseWriter: w}
+	defer func() {
+		if rec.status == 0 && r.Context().Err() != nil {
+			return
+		}
+		if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+			name, _ := h.customers.Allowed(a.Addr().Unmap())
+			h.meter.Record(name, time.Since(began), rec.failed())
+		}
+	}()
+	h.next.ServeHTTP(rec, r)
+	rec.returned = true
+}
+
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+	// returned is false if the handler panicked, which aborts the answer.
+	returned bool
+}
+
+func (w *statusWriter) failed() bool {
+	return w.status >= http.StatusInternalServerError || !w.returned
+}
+
+// WriteHeader remembers the first final status.
+func (w *statusWriter) WriteHeader(status int) {
+	if w.status == 0 && status >= http.StatusOK {
+		w.status = status
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implies status 200.
+func (w *statusWriter) Write(b []byte) (int, error) {
+	if w.status == 0 {
+		w.status = http.StatusOK
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// Flush passes on to the writer below.
+func (w *statusWriter) Flush() { _ = http.NewResponseController(w.ResponseWriter).Flush() }
+
+// Unwrap serves http.ResponseController.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// sendFinalBatch waits until control has all counts of an agent that stops. It gives up after some heartbeats, because the
+// report then says that data is missing.
+func sendFinalBatch(g *group, n *node, m *burner.Meter) {
+	m.Finish()
+	for deadline := time.Now().Add(finalBatchTime); time.Now().Before(deadline) && !m.Finished() && g.ctx.Err() == nil; {
+		n.heartbeatNow()
+		g.pause(leavePoll)
+	}
+}
+
+// burnCollector hands the batches in heartbeats to the collector.
+type burnCollector struct {
+	next      connector.HeartbeatHandler
+	collector *burner.Collector
+}
+
+// Heartbeat records the batch and passes the heartbeat on.
+func (c *burnCollector) Heartbeat(now time.Time, h leaser.Heartbeat) (subscriber.Reply, error) {
+	if h.Burn != nil && h.Announcement != nil {
+		c.collector.Record(now, h.Machine, h.Announcement.Service, h.Burn)
+	}
+	return c.next.Heartbeat(now, h)
+}
+
+func newCollector(cfg parser.Control) *burner.Collector {
+	c := &burner.Collector{Instance: cfg.Name}
+	for _, o := range cfg.Objectives {
+		c.Objectives = append(c.Objectives, burner.Objective{
+			Service: o.Service, Customer: o.Customer, Answered: o.Answered, Fast: o.Fast, FastWithin: time.Duration(o.FastWithin),
+		})
+	}
+	return c
+}
+
+// burnReport returns the report of this instance about the services and upstreams of the configuration.
+func burnReport(c *burner.Collector, w *registrar.World) func(now time.Time) burner.Report {
+	return func(now time.Time) burner.Report {
+		expected := map[registrar.ServiceName][]registrar.MachineName{}
+		for _, s := range w.Services() {
+			expected[s.Name] = nil
+		}
+		for _, u := range w.Upstreams() {
+			// A silent upstream may serve all the same while its agent cannot reach control, so its data is missed as well.
+			expected[u.Service] = append(expected[u.Service], u.Machine)
+		}
+		return c.Report(now, expected)
+	}
+}
+
+// exportBurn adds the metrics of findings, so that an alert can be raised where the other metrics are collected.
+func exportBurn(e *exporter.Exporter, report func(now time.Time) burner.Report) error {
+	return e.Gauge("burn_alert", "1 while the agents that report to this instance burn the error budget too fast.", func(emit exporter.Emit) {
+		r := report(time.Now())
+		for _, f := range r.Judge() {
+			var value int64
+			if f.Verdict == burner.Burning {
+				value = 1
+			}
+			emit(value, attribute.String("service", string(f.Service)), attribute.String("customer", string(f.Customer)),
+				attribute.String("speed", string(f.Speed)))
+		}
+	})
+}
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -81,18 +82,20 @@
 	if err != nil {
 		return err
 	}
-	if err := exportControl(e, ledger.World, sessions); err != nil {
+	collector := newCollector(cfg)
+	report := burnReport(collector, ledger.World)
+	if err := errors.Join(exportControl(e, ledger.World, sessions), exportBurn(e, report)); err != nil {
 		return err
 	}
 	g := newGroup(ctx)
 	g.run((&connector.Server{
 		Address: cfg.ControlAddress, TLS: keys.Server,
-		Heartbeats: &granter.Granter{
+		Heartbeats: &burnCollector{collector: collector, next: &granter.Granter{
 			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: soleAuthority{}, Proposer: p,
-		},
+		}},
 	}).Run)
 	g.run((&administrator.Administrator{
-		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Leaser: sessions, Recorder: rec,
+		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Leaser: sessions, Recorder: rec, Burn: report,
 	}).Run)
 	g.run(func(ctx context.Context) error { return markSilent(ctx, ledger.World, sessions, p) })
 	g.run(reloadOnHangup(rec, keys))
--- a/internal/cli/runner/metrics.go
+++ b/internal/cli/runner/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/exporter"
 	"github.com/peridotstage/peridotstage/internal/route/carrier"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
@@ -79,9 +80,17 @@
 	return func(emit exporter.Emit) { emit(int64(w.Revision())) }
 }
 
-// exportFlows adds the metrics of an agent's flows.
-func exportFlows(e *exporter.Exporter, t *tracker.Tracker) error {
-	return e.Gauge("flows", "Flows that the agent tracks.", func(emit exporter.Emit) { emit(int64(t.Stats().Flows)) })
+// exportRequests adds the metrics of an agent's flows and requests.
+func exportRequests(e *exporter.Exporter, t *tracker.Tracker, m *burner.Meter) error {
+	requests := func(emit exporter.Emit) {
+		answered, failed := m.Totals()
+		emit(answered, attribute.String("result", "answered"))
+		emit(failed, attribute.String("result", "failed"))
+	}
+	return errors.Join(
+		e.Gauge("flows", "Flows that the agent tracks.", func(emit exporter.Emit) { emit(int64(t.Stats().Flows)) }),
+		e.Counter("requests", "Requests of callers, by result.", requests),
+	)
 }
 
 // exportControl adds the metrics of a control instance.
--- a/internal/cli/runner/node.go
+++ b/internal/cli/runner/node.go
@@ -40,6 +40,8 @@
 	clients    []*connector.Client
 	// describe completes a heartbeat.
 	describe func(h *leaser.Heartbeat)
+	// confirmBurn is called with the number of a batch that control has taken.
+	confirmBurn func(number uint64)
 	// wake asks for a heartbeat at once.
 	wake chan struct{}
 	// stopping is set once a planned stop has begun.
@@ -141,6 +143,9 @@
 	if err != nil {
 		return err
 	}
+	if h.Burn != nil {
+		n.confirmBurn(h.Burn.Number)
+	}
 	before := n.subscriber.World.Revision()
 	if err := n.subscriber.Accept(sentAt, r); err != nil {
 		return err
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -42,6 +43,8 @@
 	Announcement *Announcement
 	Evidence     []counter.Evidence
 	ServeExpired bool
+	// Burn holds new request counts; nil most of the time.
+	Burn *burner.Batch
 }
 
 // Session is what a control instance knows about a node.
--- a/internal/front/administrator/administrator.go
+++ b/internal/front/administrator/administrator.go
@@ -15,6 +15,7 @@
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -40,6 +41,8 @@
 	Ledger   *planner.Ledger
 	Leaser   *leaser.Leaser
 	Recorder *recorder.Recorder
+	// Burn returns the instance's report on service-level burn.
+	Burn func(now time.Time) burner.Report
 }
 
 // Run serves requests until ctx ends.
@@ -70,6 +73,7 @@
 	mux.HandleFunc("POST /v1/plans", a.createPlan)
 	mux.HandleFunc("POST /v1/plans/{id}/confirm", a.confirmPlan)
 	mux.HandleFunc("GET /v1/status", a.status)
+	mux.HandleFunc("GET /v1/burn", a.burn)
 	mux.HandleFunc("GET /v1/customers/{name}/proof", a.proof)
 	return mux
 }
@@ -226,6 +230,12 @@
 	writeJSON(w, http.StatusOK, st)
 }
 
+func (a *Administrator) burn(w http.ResponseWriter, r *http.Request) {
+	if _, ok := a.operator(w, r); ok {
+		writeJSON(w, http.StatusOK, a.Burn(time.Now()))
+	}
+}
+
 func (a *Administrator) proof(w http.ResponseWriter, r *http.Request) {
 	if _, ok := a.operator(w, r); !ok {
 		return
--- a/internal/setting/parser/field.go
+++ b/internal/setting/parser/field.go
@@ -71,6 +71,8 @@
 // describe says what is allowed.
 func (f field) describe() string {
 	switch {
+	case f.nested != nil && f.max > 0:
+		return fmt.Sprintf("%d to %d objects with %s", f.min, f.max, names(fieldsOf(f.nested)))
 	case f.nested != nil:
 		return "an object with " + names(fieldsOf(f.nested))
 	case f.max > 0:
--- a/internal/setting/parser/rule.go
+++ b/internal/setting/parser/rule.go
@@ -4,8 +4,11 @@
 	"net/netip"
 	"reflect"
 	"regexp"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
@@ -21,6 +24,9 @@
 	maxSlots  = 10_000
 	maxLinger = 5 * time.Minute
 	maxDrain  = time.Hour
+	minShare  = 0.5
+	// maxShare allows 26 s of failure in a month.
+	maxShare = 0.99999
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
@@ -44,7 +50,20 @@
 	}},
 	"slots":  {"1 to 10000", func(v any) bool { n, ok := v.(registrar.Slots); return ok && n >= 1 && n <= maxSlots }},
 	"linger": {"a duration from 0s to 5m", within(0, maxLinger)},
-	"drain":  {"a duration from 1s to 1h", within(time.Second, maxDrain)},
+	"share":  {"0.5 to 0.99999", func(v any) bool { f, ok := v.(float64); return ok && f >= minShare && f <= maxShare }},
+	"bound": {"one of " + boundList(), func(v any) bool {
+		d, ok := v.(Duration)
+		return ok && slices.Contains(burner.Bounds[:], time.Duration(d))
+	}},
+	"drain": {"a duration from 1s to 1h", within(time.Second, maxDrain)},
+}
+
+func boundList() string {
+	var all []string
+	for _, b := range burner.Bounds {
+		all = append(all, b.String())
+	}
+	return strings.Join(all, ", ")
 }
 
 func within(low, high time.Duration) func(any) bool {
--- a/internal/setting/parser/settings.go
+++ b/internal/setting/parser/settings.go
@@ -88,6 +88,16 @@
 	APIAddress netip.AddrPort                           `json:"api_address" rule:"address" doc:"where operators reach the intent API over HTTPS"`
 	DataFolder string                                   `json:"data_folder" rule:"file" doc:"folder of the durable state"`
 	Members    map[registrar.MachineName]netip.AddrPort `json:"members" rule:"address" min:"1" max:"9" doc:"control addresses of all control instances by name, this one included"`
+	Objectives []Objective                              `json:"objectives" min:"0" max:"10000" default:"" doc:"service levels that the burn report judges"`
+}
+
+// Objective is a service level.
+type Objective struct {
+	Service    registrar.ServiceName  `json:"service" rule:"name" doc:"service that the objective is for"`
+	Customer   registrar.CustomerName `json:"customer" rule:"name" default:"" doc:"customer that the objective is for; without one it holds for the whole service and for each customer without an objective of its own"`
+	Answered   float64                `json:"answered" rule:"share" default:"0.999" doc:"share of requests that must not fail"`
+	Fast       float64                `json:"fast" rule:"share" default:"0.99" doc:"share of requests that must be answered within fast_within"`
+	FastWithin Duration               `json:"fast_within" rule:"bound" doc:"how long a fast answer takes at most"`
 }
 
 // Load reads a settings file into one of the settings types. The error lists all problems of the file and is ErrInvalid.
--- a/internal/setting/parser/settings_test.go
+++ b/internal/setting/parser/settings_test.go
@@ -89,7 +89,7 @@
 	} {
 		var w strings.Builder
 		require.NoError(t, write(&w))
-		require.Contains(t, string(b), w.String())
+		require.True(t, strings.Contains(string(b), w.String()), "docs/settings.md lacks this table:\n%s", w.String())
 	}
 }
 
--- /dev/null
+++ b/internal/wire/encoder/burn_test.go
@@ -0,0 +1,54 @@
+package encoder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/peridotstage/peridotstage/internal/report/burner"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// TestBatch guards against counts that change on the way, and against a panic on a cut or altered field.
+func TestBatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := &burner.Batch{
+			Number: rapid.Uint64().Draw(t, "number"), Final: rapid.Bool().Draw(t, "final"),
+			StartedAt: time.UnixMilli(rapid.Int64Range(0, 1<<42).Draw(t, "started")),
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "customers") {
+			c := burner.CustomerCounts{Customer: registrar.CustomerName(rapid.String().Draw(t, "customer")), Failed: rapid.Uint64().Draw(t, "failed")}
+			for i := range c.Answered {
+				c.Answered[i] = rapid.Uint64Range(0, 300).Draw(t, "answered")
+			}
+			b.Customers = append(b.Customers, c)
+		}
+		p := appendBatch(nil, b)
+		back, err := parseBatch(p)
+		require.NoError(t, err)
+		require.Equal(t, b, back)
+		p = p[:rapid.IntRange(0, len(p)-1).Draw(t, "cut")]
+		if len(p) > 1 {
+			_, err = parseBatch(p)
+			require.ErrorIs(t, err, ErrBurn)
+			p[rapid.IntRange(0, len(p)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		_, _ = parseBatch(p)
+	})
+}
+
+// TestBatchSize guards against batches that break the 3 KB/s that a node may spend on control.
+func TestBatchSize(t *testing.T) {
+	b := &burner.Batch{Number: 1 << 20, StartedAt: time.Now()}
+	for range burner.BatchLimit {
+		c := burner.CustomerCounts{Customer: "a-customer-with-a-long-name", Failed: 1000}
+		for i := range c.Answered {
+			c.Answered[i] = 1000
+		}
+		b.Customers = append(b.Customers, c)
+	}
+	const limit = 1000 // bytes/s, a third of the budget
+	require.Less(t, len(appendBatch(nil, b))/int(burner.BatchInterval/time.Second), limit)
+}
--- a/internal/wire/encoder/heartbeat.go
+++ b/internal/wire/encoder/heartbeat.go
@@ -50,6 +50,9 @@
 			LiveFlows: e.LiveFlows, LastPassed: e.LastPassedMilli,
 		})
 	}
+	if h.Burn != nil {
+		m.Burn = appendBatch(nil, h.Burn)
+	}
 	return m, nil
 }
 
@@ -75,7 +78,9 @@
 			PassedSinceCut: e.GetPassedSinceCut(), LiveFlows: e.GetLiveFlows(), LastPassedMilli: e.GetLastPassed(),
 		})
 	}
-	return h, nil
+	var err error
+	h.Burn, err = parseBatch(m.GetBurn())
+	return h, err
 }
 
 // ReplyToMessage translates the reply to a heartbeat.
