--- /dev/null
+++ b/internal/cli/commander/operating_test.go
@@ -0,0 +1,108 @@
+package commander_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/peridotstage/peridotstage/internal/cli/commander"
+	"github.com/peridotstage/peridotstage/internal/fake/deployer"
+	"github.com/peridotstage/peridotstage/internal/secret/issuer"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+const docs = "../../../docs/operating"
+
+// guide runs the commands of operating pages.
+type guide struct {
+	deployment *deployer.Deployment
+	// plan is the id of the newest plan.
+	plan string
+}
+
+func newGuide(t *testing.T) *guide {
+	zones := []registrar.ZoneName{"johor-a", "johor-b"}
+	d := deployer.New(t, deployer.Options{
+		Controls: 1, Entries: 1, Region: "johor", Zones: zones,
+		Services: []deployer.Service{{Name: "order-desk", Transport: registrar.TransportQUIC, Slots: 2, Zones: zones}},
+	})
+	d.StartControl(0)
+	entry := d.EntrySettings(0)
+	entry["address_map"].(map[netip.Addr]netip.Addr)[netip.MustParseAddr("203.0.113.11")] = d.AgentAddr(1, 0)
+	d.Start("entry", "entry-0", entry)
+	d.StartAgent(0, 0)
+	d.StartAgent(0, 1)
+	d.Configure("estate")
+	t.Chdir(d.Folder)
+	t.Setenv("PERIDOTSTAGE_API", d.APIAddr(0).String())
+	t.Setenv("PERIDOTSTAGE_AUTHORITY", d.KeyFile(issuer.AuthorityFile))
+	t.Setenv("PERIDOTSTAGE_CERTIFICATE", d.KeyFile("operator.pem"))
+	t.Setenv("PERIDOTSTAGE_KEY", d.KeyFile("operator.key"))
+	return &guide{deployment: d}
+}
+
+// run runs one command as printed, with the words in capitals filled in.
+func (g *guide) run(t *testing.T, command string) {
+	words := strings.Fields(command)
+	switch {
+	case words[0] == "peridotstage":
+		var out, errOut bytes.Buffer
+		code := commander.Main(strings.Fields(strings.ReplaceAll(command, "PLAN", g.plan))[1:], &out, &errOut)
+		require.Equal(t, commander.ExitOK, code, "%s: %s", command, errOut.String())
+		g.remember(out.Bytes())
+	case command == "kill -HUP PID":
+		for _, name := range g.deployment.Names() {
+			g.deployment.Process(name).Hangup()
+		}
+	case command == "kill -TERM PID":
+		require.NoError(t, g.deployment.Process("agent-order-desk-1").Stop())
+	default:
+		require.Fail(t, "the test cannot run this command", command)
+	}
+}
+
+// remember keeps the id of a plan.
+func (g *guide) remember(out []byte) {
+	var answer struct {
+		Plan *struct {
+			ID json.Number `json:"id"`
+		} `json:"plan"`
+	}
+	if json.Unmarshal(out, &answer) == nil && answer.Plan != nil {
+		g.plan = answer.Plan.ID.String()
+	}
+}
+
+// TestOperatingPages guards against a command on an operating page that does not work as printed.
+func TestOperatingPages(t *testing.T) {
+	pages, err := filepath.Glob(filepath.Join(docs, "*-*.md"))
+	require.NoError(t, err)
+	require.NotEmpty(t, pages)
+	texts := map[string]string{}
+	for _, page := range pages {
+		b, err := os.ReadFile(page)
+		require.NoError(t, err)
+		texts[filepath.Base(page)] = string(b)
+	}
+	examples, err := filepath.Abs("../../../examples")
+	require.NoError(t, err)
+	block := regexp.MustCompile("(?ms)^ *```sh\n(.*?)^ *```$")
+	for name, text := range texts {
+		t.Run(name, func(t *testing.T) {
+			g := newGuide(t)
+			require.NoError(t, os.Symlink(examples, filepath.Join(g.deployment.Folder, "examples")))
+			for _, m := range block.FindAllStringSubmatch(text, -1) {
+				for command := range strings.Lines(m[1]) {
+					g.run(t, strings.TrimSpace(command))
+				}
+			}
+		})
+	}
+}
