--- a/internal/cli/commander/operating_test.go
+++ b/internal/cli/commander/operating_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -55,8 +55,14 @@
 	case words[0] == "peridotstage":
 		var out, errOut bytes.Buffer
 		code := commander.Main(strings.Fields(strings.ReplaceAll(command, "PLAN", g.plan))[1:], &out, &errOut)
+		// The page says to ask for the proof until it is there.
+		for end := time.Now().Add(deployer.WaitTime); code == commander.ExitNotProved && time.Now().Before(end); {
+			time.Sleep(deployer.PollTime)
+			out.Reset()
+			code = commander.Main(words[1:], &out, &errOut)
+		}
 		require.Equal(t, commander.ExitOK, code, "%s: %s", command, errOut.String())
-		g.remember(out.Bytes())
+		g.remember(out.String())
 	case command == "kill -HUP PID":
 		for _, name := range g.deployment.Names() {
 			g.deployment.Process(name).Hangup()
@@ -69,14 +75,9 @@
 }
 
 // remember keeps the id of a plan.
-func (g *guide) remember(out []byte) {
-	var answer struct {
-		Plan *struct {
-			ID json.Number `json:"id"`
-		} `json:"plan"`
-	}
-	if json.Unmarshal(out, &answer) == nil && answer.Plan != nil {
-		g.plan = answer.Plan.ID.String()
+func (g *guide) remember(out string) {
+	if m := regexp.MustCompile(`peridotstage confirm (\d+)`).FindStringSubmatch(out); m != nil {
+		g.plan = m[1]
 	}
 }
 
--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -15,7 +15,6 @@
 	"github.com/peridotstage/peridotstage/internal/front/responder"
 	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
-	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
@@ -48,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	counts := &counter.Counter{}
+	counts := n.counts
 	meter := &burner.Meter{StartedAt: time.Now()}
 	t := &tracker.Tracker{
 		Machine: cfg.Name, Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
@@ -63,10 +62,9 @@
 		Upstream: cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
 	}
 	var stopped atomic.Bool
-	n.subscriber.Enforcers = []subscriber.Enforcer{t, r}
+	n.subscriber.Enforcers = []subscriber.Enforcer{t, r, counts}
 	n.confirmBurn = meter.Confirm
 	n.describe = func(h *leaser.Heartbeat) {
-		h.Evidence = counts.Evidence()
 		h.Burn = meter.Batch(time.Now())
 		h.Announcement = &leaser.Announcement{
 			Upstream: cfg.Upstream, Service: cfg.Service, Slots: cfg.Slots,
--- a/internal/cli/runner/burn_test.go
+++ b/internal/cli/runner/burn_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"encoding/xml"
 	"io"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -30,7 +32,7 @@
 }
 
 func verdicts(t *testing.T, d *deployer.Deployment) map[registrar.ServiceName]burner.Verdict {
-	_, out, errOut := operate(d, "report", "burn", "--format", "json")
+	_, out, errOut := operate(d, "report", "burn", "--output", "json")
 	var document struct {
 		Findings []burner.Finding `json:"findings"`
 	}
@@ -88,10 +90,14 @@
 	}, deployer.WaitTime, 100*time.Millisecond)
 
 	code, out, errOut := operate(d, "report", "burn")
-	require.Equal(t, commander.ExitFailure, code, "an alert condition does not show in the exit status")
+	require.Equal(t, commander.ExitBurning, code, "an alert condition does not show in the exit status")
 	require.Contains(t, errOut, "burns its error budget")
 	require.Regexp(t, `slow-desk +estate +fast +burning`, out)
-	_, page, _ := operate(d, "report", "burn", "--format", "html")
+	file := filepath.Join(t.TempDir(), "burn.html")
+	_, _, _ = operate(d, "report", "burn", "--html", file)
+	b, err := os.ReadFile(file)
+	require.NoError(t, err)
+	page := string(b)
 	require.Equal(t, 2*len(services), strings.Count(page, "<svg"))
 	checkMarkup(t, page[strings.Index(page, "<svg"):strings.Index(page, "</svg>")+len("</svg>")])
 
--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -9,7 +9,6 @@
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/listener"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
-	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/forwarder"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
@@ -26,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	counts := &counter.Counter{}
+	counts := n.counts
 	f := &forwarder.Forwarder{
 		Stamper: keys.Stamper, Lease: n.subscriber, Counter: counts, Entry: cfg.DataAddress,
 	}
@@ -34,8 +33,8 @@
 		Decider: f, Counter: counts, Keys: keys.Data, DataAddress: cfg.DataAddress, AddressMap: cfg.AddressMap,
 		Recorder: rec, Newer: n.newer,
 	}
-	n.subscriber.Enforcers = []subscriber.Enforcer{f, l}
-	n.describe = func(h *leaser.Heartbeat) { h.Evidence = counts.Evidence() }
+	n.subscriber.Enforcers = []subscriber.Enforcer{f, l, counts}
+	n.describe = func(*leaser.Heartbeat) {}
 	e, err := newExporter(cfg.Machine, func(now time.Time) error {
 		return errors.Join(n.ready(now, f.Revision()), l.Problem())
 	})
--- a/internal/fake/conductor/conductor.go
+++ b/internal/fake/conductor/conductor.go
@@ -102,7 +102,7 @@
 	updates := &publisher.Publisher{}
 	c.Ledger = planner.NewLedger(updates)
 	c.Granter = &granter.Granter{
-		World: c.Ledger.World, Publisher: updates, Leaser: &leaser.Leaser{}, Authority: authority{}, Proposer: c,
+		World: c.Ledger.World, Publisher: updates, Leaser: &leaser.Leaser{}, Authority: authority{}, Announcer: c, Reporter: c,
 	}
 	zones := map[registrar.ZoneName]bool{}
 	c.Carry(planner.Intent{Kind: planner.AddCustomer, Customer: &registrar.Customer{Name: "estate"}})
@@ -184,13 +184,17 @@
 	})
 }
 
-// ProposeChanges implements granter.Proposer.
-func (c *Conductor) ProposeChanges(changes []registrar.Change) error {
-	r := c.apply(planner.Command{Kind: planner.CommandSystem, Changes: changes})
-	if r.Failure != nil {
-		return r.Failure
-	}
-	return nil
+// Announce implements granter.Announcer without batching.
+func (c *Conductor) Announce(_ registrar.MachineName, f planner.Facts) {
+	c.apply(planner.Command{Kind: planner.CommandSystem, Facts: &f})
+}
+
+// Refusal implements granter.Announcer. The deployments of this package announce nothing that is refused.
+func (c *Conductor) Refusal(registrar.MachineName) error { return nil }
+
+// DigestDiffers implements granter.Reporter.
+func (c *Conductor) DigestDiffers(m registrar.MachineName, at registrar.Revision) {
+	panic(fmt.Sprintf("machine %s differs from control at revision %d", m, at))
 }
 
 func (c *Conductor) apply(cmd planner.Command) planner.Result {
--- a/internal/report/burner/burner_test.go
+++ b/internal/report/burner/burner_test.go
@@ -19,7 +19,7 @@
 		m := &Meter{StartedAt: start}
 		agent := registrar.Machine{Name: "a", Incarnation: 1}
 		now := start
-		var want Counts
+		var want RequestCounts
 		send := func() {
 			b := m.Batch(now)
 			if b == nil || rapid.Bool().Draw(t, "heartbeat lost") {
@@ -50,7 +50,7 @@
 		}
 		r := c.Report(now, map[registrar.ServiceName][]registrar.MachineName{"s": {"a"}})
 		require.Equal(t, want, r.Lines[0].Windows[0].Long)
-		var perCustomer Counts
+		var perCustomer RequestCounts
 		for _, l := range r.Lines[1:] {
 			perCustomer.add(l.Windows[0].Long)
 		}
@@ -122,5 +122,5 @@
 	all := Merge(reports)
 	require.Empty(t, all.missing("s", time.Hour))
 	require.Len(t, all.Lines, 2)
-	require.Equal(t, Counts{Requests: 3, Failed: 3}, all.Lines[1].Windows[0].Short)
+	require.Equal(t, RequestCounts{Requests: 3, Failed: 3}, all.Lines[1].Windows[0].Short)
 }
--- a/internal/report/burner/collector.go
+++ b/internal/report/burner/collector.go
@@ -32,7 +32,7 @@
 	}
 }
 
-func (s *series) add(at slot, c Counts) {
+func (s *series) add(at slot, c RequestCounts) {
 	e := &s.slots[int64(at)%slotCount]
 	if e.at != at {
 		e.at, e.requests, e.failed, e.slow = at, 0, 0, 0
@@ -43,11 +43,11 @@
 }
 
 // sum adds up the slots after one time and up to another.
-func (s *series) sum(after, until slot) Counts {
-	var c Counts
+func (s *series) sum(after, until slot) RequestCounts {
+	var c RequestCounts
 	for at := max(after+1, until-slot(slotCount)+1); at <= until; at++ {
 		if e := &s.slots[int64(at)%slotCount]; e.at == at {
-			c.add(Counts{uint64(e.requests), uint64(e.failed), uint64(e.slow)})
+			c.add(RequestCounts{uint64(e.requests), uint64(e.failed), uint64(e.slow)})
 		}
 	}
 	return c
--- a/internal/report/burner/objective.go
+++ b/internal/report/burner/objective.go
@@ -18,15 +18,15 @@
 	FastWithin time.Duration
 }
 
-// Counts are requests of one service and customer in some time.
-type Counts struct {
+// RequestCounts are requests of one service and customer in some time.
+type RequestCounts struct {
 	Requests uint64 `json:"requests"`
 	Failed   uint64 `json:"failed"`
 	// Slow counts answers later than the objective allows.
 	Slow uint64 `json:"slow"`
 }
 
-func (c *Counts) add(o Counts) {
+func (c *RequestCounts) add(o RequestCounts) {
 	c.Requests += o.Requests
 	c.Failed += o.Failed
 	c.Slow += o.Slow
@@ -41,8 +41,8 @@
 }
 
 // reduce turns the counts of a batch into those of an objective.
-func (o Objective) reduce(c CustomerCounts) Counts {
-	n := Counts{Requests: c.Failed, Failed: c.Failed}
+func (o Objective) reduce(c CustomerCounts) RequestCounts {
+	n := RequestCounts{Requests: c.Failed, Failed: c.Failed}
 	for i, count := range c.Answered {
 		n.Requests += count
 		if i == len(Bounds) || Bounds[i] > o.FastWithin {
--- a/internal/report/burner/report.go
+++ b/internal/report/burner/report.go
@@ -34,8 +34,8 @@
 
 // WindowCounts are the counts of the two windows of a speed.
 type WindowCounts struct {
-	Short Counts `json:"short"`
-	Long  Counts `json:"long"`
+	Short RequestCounts `json:"short"`
+	Long  RequestCounts `json:"long"`
 }
 
 // Line is the data of one service and customer.
@@ -49,7 +49,7 @@
 	// Windows are ordered as the alert rules: fast, slow.
 	Windows [len(rules)]WindowCounts `json:"windows"`
 	// History has one element for each 5 minutes of the last 6 hours, oldest first.
-	History [plotPoints]Counts `json:"history"`
+	History [plotPoints]RequestCounts `json:"history"`
 }
 
 // AgentData says since when and until when batches of an agent have arrived.
