--- a/internal/cli/commander/api.go
+++ b/internal/cli/commander/api.go
@@ -102,6 +102,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return f.sendTo(addresses, method, path, body)
+}
+
+func (f *apiFlags) sendTo(addresses []string, method, path string, body any) ([]byte, error) {
 	keys, err := loader.Load(parser.Keys{Authority: *f.authority, Certificate: *f.certificate, PrivateKey: *f.key})
 	if err != nil {
 		return nil, usageError{fmt.Errorf("--authority, --certificate, --key: %w", err)}
--- a/internal/front/administrator/administrator_test.go
+++ b/internal/front/administrator/administrator_test.go
@@ -27,6 +27,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
 	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 )
@@ -67,6 +68,7 @@
 	return &Administrator{
 		Log: log, Ledger: ledger, Collector: alone{}, Authority: alone{}, Membership: alone{},
 		Recorder: recorder.Discard(),
+		Burn:     func(time.Time) burner.Report { return burner.Report{} },
 	}, log
 }
 
--- a/internal/wire/encoder/heartbeat.go
+++ b/internal/wire/encoder/heartbeat.go
@@ -51,6 +51,9 @@
 			LiveFlows: e.LiveFlows, LastPassed: e.LastPassedMilli, CutRevision: uint64(e.CutRevision),
 		})
 	}
+	if h.Burn != nil {
+		m.Burn = appendBatch(nil, h.Burn)
+	}
 	return m, nil
 }
 
@@ -80,7 +83,9 @@
 			CutRevision: registrar.Revision(e.GetCutRevision()),
 		})
 	}
-	return h, nil
+	var err error
+	h.Burn, err = parseBatch(m.GetBurn())
+	return h, err
 }
 
 // ReplyToMessage translates the reply to a heartbeat.
