Add admission: a limiter for each upstream and retry budgets

Cause: agents admitted every flow and request, so an upstream in cold start got full load.

The limiter grants at most as many slots as the upstream has, queues by deadline and refuses a request as soon as its deadline cannot be met. A cold start is announced (TurnCold, first use) or found by two slow answers in a row, five failures in a row or one broken connection. The limit then drops to a quarter of a slot, kept by pauses between requests, and rises with successes. Without a known warm service time the limit stays at one request at once for 10 s, because there is nothing that the service time could be compared with.

Weights compare between upstreams because all agents use the same reference service time. A cold upstream announces a quarter, so the step to the measured value always passes the 20% that control ignores, and the weight in force starts from an exact value. A first try, in which an unmeasured agent announced a quarter of its peers' weights, was ruled out: the agents of a new service drove each other's weights towards zero, one generation a heartbeat.

--- /dev/null
+++ b/internal/admit/budgeter/budgeter_test.go
@@ -0,0 +1,36 @@
+package budgeter_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/peridotstage/peridotstage/internal/admit/budgeter"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// TestBudget guards the bound on retries: in any order of tries, each customer's retries stay below a tenth of its own first
+// tries, and other customers do not matter.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := &budgeter.Budgeter{}
+		tries, retries := map[registrar.CustomerName]int{}, map[registrar.CustomerName]int{}
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			name := rapid.SampledFrom([]registrar.CustomerName{"estate", "mill"}).Draw(t, "customer")
+			if rapid.IntRange(0, 3).Draw(t, "kind") > 0 {
+				b.FirstTry(name)
+				tries[name]++
+			} else if b.Retry(name) {
+				retries[name]++
+			}
+			require.True(t, retries[name] == 0 || retries[name]*10 < tries[name])
+		}
+	})
+	b := &budgeter.Budgeter{}
+	for range 11 {
+		b.FirstTry("estate")
+	}
+	require.False(t, b.Retry("mill"))
+	require.True(t, b.Retry("estate"))
+}
--- /dev/null
+++ b/internal/admit/limiter/gauge.go
@@ -0,0 +1,207 @@
+package limiter
+
+import (
+	"time"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+const (
+	// leastLimit is the load in slots that a cold upstream gets: a quarter of one slot, by pauses between requests.
+	leastLimit = 0.25
+	// settleTime is how long an upstream without a known warm service time stays at one request at a time. An upstream
+	// that is cold for longer shows it by a service time that still falls.
+	settleTime = 10 * time.Second
+	// longestCold ends a cold start whose service time stays high: the upstream has become slower for good.
+	longestCold = 30 * time.Second
+	// coldStep is what a success adds to the limit below one slot, and warmStep above it.
+	coldStep, warmStep = 0.025, 0.125
+	// recovered is the number of successes at the warm service time that end a cold start early.
+	recovered = 20
+	// shiftFactor is the rise in service time that counts as a shift. A cold start multiplies it by more.
+	shiftFactor = 2
+	// shiftRun is the number of slow requests in a row that count as a shift, so that one slow request does not.
+	shiftRun = 2
+	// failureRun is the number of failures in a row after which new flows go elsewhere.
+	failureRun = 5
+	// idleTime without requests makes the upstream's state unknown, so it restarts from at most one slot.
+	idleTime = 10 * time.Second
+	// minService keeps estimates and pauses above the resolution of timers.
+	minService = 50 * time.Microsecond
+	// maxPace bounds the service time that pauses are computed from, so that one stuck request does not stop an upstream.
+	maxPace = 1 * time.Second
+	// meanOver is the number of requests that the measured service time looks back on, and minSamples is the number from
+	// which it is announced.
+	meanOver, minSamples = 256, 16
+	// Reference is the service time at which one slot weighs registrar.WeightPerSlot. All agents use the same one, so that
+	// weights of different upstreams compare.
+	Reference = 10 * time.Millisecond
+	// coldShare is the part of its capacity that a cold upstream announces.
+	coldShare = 4
+)
+
+// gauge measures an upstream and derives the limit. The limiter's lock guards it.
+type gauge struct {
+	slots registrar.Slots
+	// limit is between leastLimit and slots.
+	limit  float64
+	cold   bool
+	coldAt time.Time
+	lastAt time.Time
+	// successes, slow and failures count since the last event of another kind.
+	successes, slow, failures int
+	// service is the mean time of recent requests, at least minService.
+	service time.Duration
+	samples int
+	// baseline and deviation describe the service time when warm; baseline is 0 while unknown.
+	baseline, deviation time.Duration
+	// expected is the weight per slot of the service's other upstreams; 0 while unknown.
+	expected registrar.Weight
+}
+
+// begin puts a new gauge into a cold start, because the upstream may have just started.
+func (g *gauge) begin(now time.Time, slots registrar.Slots) {
+	if g.slots != 0 {
+		return
+	}
+	g.slots = max(slots, 1)
+	g.service = minService
+	g.lastAt = now
+	g.cool(now)
+}
+
+func (g *gauge) cool(now time.Time) {
+	g.limit, g.cold, g.coldAt = leastLimit, true, now
+	g.successes, g.slow, g.samples = 0, 0, 0
+}
+
+func (g *gauge) wakeIdle(now time.Time, running int) {
+	if running == 0 && now.Sub(g.lastAt) > idleTime && g.limit > 1 {
+		g.limit = 1
+	}
+	g.lastAt = now
+}
+
+func (g *gauge) observe(now time.Time, r Result, d time.Duration) {
+	g.lastAt = now
+	switch r {
+	case Served:
+		g.failures = 0
+		g.success(now, max(d, minService))
+	case Failed:
+		// One failed request may be the request's own fault; a run of them is the upstream's.
+		if g.failures++; g.failures >= failureRun {
+			g.cool(now)
+		}
+	case Lost:
+		g.failures++
+		g.cool(now)
+	case Abandoned:
+		if g.isSlow(d) {
+			g.countSlow(now)
+		}
+	}
+}
+
+func (g *gauge) isSlow(d time.Duration) bool {
+	return g.baseline > 0 && d > shiftFactor*g.baseline && d > g.baseline+4*g.deviation+time.Millisecond
+}
+
+func (g *gauge) countSlow(now time.Time) {
+	if g.slow++; g.slow >= shiftRun && !g.cold {
+		g.cool(now)
+	}
+}
+
+func (g *gauge) success(now time.Time, d time.Duration) {
+	g.measure(d)
+	if g.isSlow(d) {
+		g.countSlow(now)
+	} else {
+		g.slow = 0
+	}
+	if g.cold {
+		g.ramp(now, d)
+		return
+	}
+	g.limit = min(g.limit+warmStep, float64(g.slots))
+	g.learn(d)
+}
+
+// measure keeps a mean that is exact for the first samples and fades older ones afterwards.
+func (g *gauge) measure(d time.Duration) {
+	g.samples++
+	g.service += (d - g.service) / time.Duration(min(g.samples, meanOver))
+	g.service = max(g.service, minService)
+}
+
+func (g *gauge) learn(d time.Duration) {
+	if g.baseline == 0 {
+		g.baseline, g.deviation = d, d/2
+		return
+	}
+	off := d - g.baseline
+	g.baseline += off / 32
+	g.deviation += (max(off, -off) - g.deviation) / 32
+}
+
+// ramp raises the limit of a cold upstream. The limit stays at the least while the service time is above the known warm
+// one, and at one slot until the upstream has had time to settle.
+func (g *gauge) ramp(now time.Time, d time.Duration) {
+	elapsed := now.Sub(g.coldAt)
+	if g.isSlow(d) && elapsed < longestCold {
+		g.successes = 0
+		return
+	}
+	g.successes++
+	warm := elapsed >= settleTime || g.baseline > 0 && g.successes >= recovered
+	switch {
+	case g.limit < 1:
+		g.limit = min(g.limit+coldStep, 1)
+	case warm && g.limit+warmStep < float64(g.slots):
+		g.limit += warmStep
+	case warm:
+		g.limit, g.cold, g.samples = float64(g.slots), false, 0
+		if elapsed >= longestCold {
+			g.baseline = 0
+		}
+		g.learn(d)
+	}
+}
+
+// Unmeasured is the weight per slot that an upstream announces while neither it nor its peers have been measured.
+const Unmeasured = registrar.WeightPerSlot / coldShare
+
+// Expect sets the weight per slot that an upstream without measurements is assumed to have, taken from its peers. The first
+// value stays: an assumption that followed the peers could feed back through those that assume one themselves.
+func (l *Limiter) Expect(perSlot registrar.Weight) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.expected == 0 {
+		l.expected = perSlot
+	}
+}
+
+// Weight returns the measured capacity: slots at the speed of Reference. While the upstream is cold, or measured too little
+// since, only a part of it is announced. The step to the whole capacity is then large enough to pass the 20% below
+// which control ignores a move, so that the weight in force starts from an exact value.
+func (l *Limiter) Weight(now time.Time) registrar.Weight {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin(now, l.Slots)
+	capacity := float64(l.slots) * float64(registrar.WeightPerSlot) * float64(Reference) / float64(l.service)
+	if l.samples < minSamples && l.baseline == 0 {
+		perSlot := l.expected
+		if perSlot == 0 {
+			perSlot = registrar.WeightPerSlot
+		}
+		capacity = float64(l.slots) * float64(perSlot)
+	}
+	if l.cold || l.samples < minSamples {
+		capacity /= coldShare
+	}
+	if l.failures >= failureRun {
+		capacity /= coldShare
+	}
+	return registrar.Weight(max(capacity, 1))
+}
