Run non-idempotent requests at most once and tell callers the outcome

Cause: the agent passed every request on, and Go's HTTP client repeats requests that carry an Idempotency-Key on its own when a connection breaks, so a job could run twice.

A request with an Idempotency-Key runs only after majorities of its claim owners granted the only claim. "Not run" is said only if the claim is held and unused, or if majorities have promised never to grant the request (a void).

--- /dev/null
+++ b/internal/cli/runner/admission.go
@@ -0,0 +1,95 @@
+package runner
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peridotstage/peridotstage/internal/admit/limiter"
+	"github.com/peridotstage/peridotstage/internal/request/claimer"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// clock is the clock of the machine.
+type clock struct{}
+
+func (clock) Now() time.Time                         { return time.Now() }
+func (clock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// alarm advances a limiter at a time.
+type alarm struct {
+	limiter *limiter.Limiter
+	mu      sync.Mutex
+	timer   *time.Timer
+}
+
+// SetAlarm replaces the time.
+func (a *alarm) SetAlarm(at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.timer == nil {
+		a.timer = time.AfterFunc(time.Until(at), func() { a.limiter.Advance(time.Now()) })
+		return
+	}
+	a.timer.Reset(time.Until(at))
+}
+
+// admission connects the limiter and the claim owners with the configuration.
+type admission struct {
+	service   registrar.ServiceName
+	upstream  registrar.UpstreamName
+	limiter   *limiter.Limiter
+	directory *claimer.Directory
+	draining  atomic.Bool
+	// mu guards withdrawn, which is true if the upstream's zone was withdrawn in the newest configuration.
+	mu        sync.Mutex
+	withdrawn bool
+}
+
+// AdmitFlow reports whether the agent takes a new flow.
+func (a *admission) AdmitFlow(now time.Time) bool {
+	return !a.draining.Load() && a.limiter.AdmitFlow(now)
+}
+
+// Update puts a configuration into force.
+func (a *admission) Update(w *registrar.World) {
+	v, ok := w.View(a.service)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	a.directory.Update(now, v)
+	a.limiter.Expect(a.peerWeight(v))
+	for _, u := range v.Upstreams {
+		if u.Name != a.upstream {
+			continue
+		}
+		a.mu.Lock()
+		returned := a.withdrawn && !u.ZoneWithdrawn
+		a.withdrawn = u.ZoneWithdrawn
+		a.mu.Unlock()
+		if returned {
+			a.limiter.TurnCold(now)
+		}
+	}
+}
+
+// peerWeight returns the median weight per slot of the service's other upstreams that have been measured, or 0 without
+// any.
+func (a *admission) peerWeight(v registrar.ServiceView) registrar.Weight {
+	var weights []registrar.Weight
+	for _, u := range v.Upstreams {
+		if u.Name == a.upstream || u.Silent || u.Slots == 0 {
+			continue
+		}
+		if w := u.Weight / registrar.Weight(u.Slots); w != limiter.Unmeasured {
+			weights = append(weights, w)
+		}
+	}
+	if len(weights) == 0 {
+		return 0
+	}
+	slices.Sort(weights)
+	return weights[len(weights)/2]
+}
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -24,6 +24,8 @@
 	TLS     *tls.Config
 	// Heartbeats answers the heartbeats of nodes; nil on machines that do not.
 	Heartbeats HeartbeatHandler
+	// Claims answers the claims of other agents; nil on machines that do not.
+	Claims ClaimHandler
 }
 
 // HeartbeatHandler answers heartbeats.
@@ -39,6 +41,11 @@
 			return eris.Wrap(err, "register control service")
 		}
 	}
+	if s.Claims != nil {
+		if err := messenger.DRPCRegisterClaims(mux, &claimService{s.Claims}); err != nil {
+			return eris.Wrap(err, "register claims service")
+		}
+	}
 	cfg := s.TLS.Clone()
 	cfg.VerifyConnection = verifyMachine
 	ln, err := tls.Listen("tcp", s.Address.String(), cfg)
--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -33,6 +33,8 @@
 	// keepAlive is the interval of probes on a connection. With the loss of all probes a connection that went silent is
 	// found within idleTimeout, or earlier by the prober.
 	keepAlive = 1 * time.Second
+	// quietTime without requests ends a planned stop. It leaves callers time to act on GOAWAY.
+	quietTime = 2 * time.Second
 	// closeCut is the QUIC application error code for connections of customers that were cut off.
 	closeCut quic.ApplicationErrorCode = 0x1001
 )
@@ -80,14 +82,24 @@
 	return nil
 }
 
-// Shutdown stops taking new requests, waits for those in progress and closes all connections.
-func (r *Responder) Shutdown(ctx context.Context) error {
+// Shutdown asks callers to open new connections elsewhere (GOAWAY), waits until no request is in progress and closes all
+// connections.
+func (r *Responder) Shutdown(ctx context.Context, inFlight func() int64) error {
 	r.mu.Lock()
 	server, transport := r.server, r.quic
 	r.mu.Unlock()
 	var err error
 	if server != nil {
-		err = server.Shutdown(ctx)
+		quiet, cancel := context.WithCancel(ctx)
+		go func() {
+			defer cancel()
+			untilQuiet(ctx, inFlight)
+		}()
+		// Callers that keep an idle connection open do not hold up the stop.
+		if err = server.Shutdown(quiet); errors.Is(err, context.Canceled) {
+			err = nil
+		}
+		cancel()
 	}
 	if transport != nil {
 		_ = transport.Close()
@@ -95,6 +107,26 @@
 	return errors.Join(err, r.udp.Close())
 }
 
+// untilQuiet returns when no request has been in progress for quietTime.
+func untilQuiet(ctx context.Context, inFlight func() int64) {
+	ticker := time.NewTicker(quietTime / 20)
+	defer ticker.Stop()
+	quietAt := time.Now().Add(quietTime)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if inFlight() > 0 {
+				quietAt = now.Add(quietTime)
+			}
+			if now.After(quietAt) {
+				return
+			}
+		}
+	}
+}
+
 func (r *Responder) receive() {
 	b := make([]byte, maxDatagram)
 	out := make([]byte, 0, maxDatagram)
@@ -200,7 +232,7 @@
 		Handler: r.Handler,
 		ConnContext: func(ctx context.Context, c *quic.Conn) context.Context {
 			r.track(c)
-			return ctx
+			return withConn(ctx, c.Context())
 		},
 	}
 	r.conn = conn
--- a/internal/route/tracker/tracker.go
+++ b/internal/route/tracker/tracker.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,6 +59,8 @@
 	callerQuiet = 300 * time.Millisecond
 	// recentEntries is the number of entries that a flow remembers for its answers.
 	recentEntries = 2
+	// longHeader is the bit that marks QUIC packets with a long header (RFC 9000, section 17.2).
+	longHeader = 0x80
 )
 
 // flowRecord is the state of one flow.
@@ -97,8 +100,13 @@
 	self    registrar.UpstreamView
 	ok      bool
 	shards  [shardCount]flowShard
+	// draining is true once new connections belong to other agents.
+	draining atomic.Bool
 }
 
+// Drain passes new connections to other agents, also those of callers whose earlier connection is still open here.
+func (t *Tracker) Drain() { t.draining.Store(true) }
+
 func (t *Tracker) shard(f registrar.Flow) *flowShard {
 	var key [18]byte
 	ip := f.Caller.Addr().As16()
@@ -202,6 +210,9 @@
 	s := t.shard(h.Flow)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if v, moved := t.move(h, payload); moved {
+		return v
+	}
 	if r := s.flows[h.Flow]; r != nil {
 		r.expireAt = now.Add(flowIdle)
 		if r.redirect != 0 && !h.Has(carrier.Direct) {
@@ -223,6 +234,20 @@
 	return t.admit(now, s, h, payload, name, customer)
 }
 
+// move passes the handshake of a new connection to the owner of its bucket while this agent drains. Packets of established
+// connections are short or name this agent in their connection id, so they stay.
+func (t *Tracker) move(h *carrier.Header, payload []byte) (Verdict, bool) {
+	long := len(payload) > 0 && payload[0]&longHeader != 0
+	if !t.draining.Load() || h.Has(carrier.Direct) || !long || t.route.Service.Transport != registrar.TransportQUIC {
+		return Verdict{}, false
+	}
+	chain := t.route.Chain(balancer.BucketOf(h.Flow))
+	if chain.Len() == 0 || chain.At(0) == t.self.ID {
+		return Verdict{}, false
+	}
+	return t.passTo(h, chain.At(0), carrier.Unclaimed), true
+}
+
 // follow passes a datagram of an unknown flow along the chain of its bucket. It returns false if the flow may start here.
 func (t *Tracker) follow(h *carrier.Header) (Verdict, bool) {
 	chain := t.route.Chain(balancer.BucketOf(h.Flow))
--- /dev/null
+++ b/internal/wire/encoder/claim.go
@@ -0,0 +1,97 @@
+package encoder
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/request/claimer"
+	"github.com/peridotstage/peridotstage/internal/wire/messenger"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// ErrMessage means that a message lacks a field or has a field outside its range.
+var ErrMessage = eris.New("malformed message")
+
+// CallToMessage translates a call to a claim owner.
+func CallToMessage(c claimer.Call) *messenger.ClaimCall {
+	return &messenger.ClaimCall{
+		Protocol: Protocol, Kind: uint32(c.Kind), Service: string(c.Request.Service), Customer: string(c.Request.Customer),
+		Key: c.Request.Key, Deadline: c.Deadline.UnixMilli(), Digest: c.Digest[:], Machine: string(c.Attempt.Machine),
+		Incarnation: uint64(c.Attempt.Incarnation), Number: c.Attempt.Number, Answer: answerToMessage(c.Answer),
+	}
+}
+
+// CallFromMessage translates a received call.
+func CallFromMessage(m *messenger.ClaimCall) (claimer.Call, error) {
+	c := claimer.Call{
+		Kind: claimer.CallKind(min(m.GetKind(), 255)),
+		Request: claimer.RequestKey{
+			Service: registrar.ServiceName(m.GetService()), Customer: registrar.CustomerName(m.GetCustomer()), Key: m.GetKey(),
+		},
+		Deadline: time.UnixMilli(m.GetDeadline()),
+		Attempt: claimer.Attempt{
+			Machine: registrar.MachineName(m.GetMachine()), Incarnation: registrar.Incarnation(m.GetIncarnation()),
+			Number: m.GetNumber(),
+		},
+		Answer: answerFromMessage(m.GetAnswer()),
+	}
+	if err := CheckProtocol(m.GetProtocol()); err != nil {
+		return c, err
+	}
+	if copy(c.Digest[:], m.GetDigest()) != len(c.Digest) {
+		return c, eris.Wrap(ErrMessage, "digest")
+	}
+	return c, nil
+}
+
+// ClaimReplyToMessage translates the reply of a claim owner.
+func ClaimReplyToMessage(r claimer.Reply) *messenger.ClaimReply {
+	return &messenger.ClaimReply{
+		Protocol: Protocol, Verdict: uint32(r.Verdict), Answer: answerToMessage(r.Answer), Set: uint64(r.Set), Steady: r.Steady,
+	}
+}
+
+// ClaimReplyFromMessage translates a received reply.
+func ClaimReplyFromMessage(m *messenger.ClaimReply) (claimer.Reply, error) {
+	r := claimer.Reply{
+		Verdict: claimer.Verdict(min(m.GetVerdict(), 255)), Answer: answerFromMessage(m.GetAnswer()),
+		Set: claimer.SetID(m.GetSet()), Steady: m.GetSteady(),
+	}
+	if err := CheckProtocol(m.GetProtocol()); err != nil {
+		return r, err
+	}
+	if r.Verdict == claimer.Answered && r.Answer == nil {
+		return r, eris.Wrap(ErrMessage, "answer")
+	}
+	return r, nil
+}
+
+func answerToMessage(a *claimer.Answer) *messenger.StoredAnswer {
+	if a == nil {
+		return nil
+	}
+	m := &messenger.StoredAnswer{Status: uint32(a.Status), Body: a.Body}
+	for name, values := range a.Header {
+		f := &messenger.HeaderField{Name: name}
+		for _, v := range values {
+			f.Values = append(f.Values, []byte(v))
+		}
+		m.Header = append(m.Header, f)
+	}
+	return m
+}
+
+func answerFromMessage(m *messenger.StoredAnswer) *claimer.Answer {
+	if m == nil {
+		return nil
+	}
+	a := &claimer.Answer{Status: int(m.GetStatus()), Header: http.Header{}, Body: m.GetBody()}
+	for _, f := range m.GetHeader() {
+		for _, v := range f.GetValues() {
+			a.Header[f.GetName()] = append(a.Header[f.GetName()], string(v))
+		}
+	}
+	return a
+}
