--- a/internal/cli/runner/admission.go
+++ b/internal/cli/runner/admission.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/peridotstage/peridotstage/internal/admit/limiter"
@@ -41,17 +40,11 @@
 	upstream  registrar.UpstreamName
 	limiter   *limiter.Limiter
 	directory *claimer.Directory
-	draining  atomic.Bool
 	// mu guards withdrawn, which is true if the upstream's zone was withdrawn in the newest configuration.
 	mu        sync.Mutex
 	withdrawn bool
 }
 
-// AdmitFlow reports whether the agent takes a new flow.
-func (a *admission) AdmitFlow(now time.Time) bool {
-	return !a.draining.Load() && a.limiter.AdmitFlow(now)
-}
-
 // Update puts a configuration into force.
 func (a *admission) Update(w *registrar.World) {
 	v, ok := w.View(a.service)
--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +19,6 @@
 	"github.com/peridotstage/peridotstage/internal/request/claimer"
 	"github.com/peridotstage/peridotstage/internal/request/dispatcher"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
-	"github.com/peridotstage/peridotstage/internal/route/stamper"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
@@ -27,10 +27,9 @@
 
 const (
 	expireInterval = 5 * time.Second
-	// drainTime bounds the wait for requests in progress at a planned stop.
-	drainTime = 60 * time.Second
-	// announceTime is the time in which an announcement is in force on other nodes: two heartbeats, and the change between.
-	announceTime = 1200 * time.Millisecond
+	// leaveTime is within how long a leaving upstream gets no new work (design page, section 2).
+	leaveTime = 3 * time.Second
+	leavePoll = 50 * time.Millisecond
 )
 
 // Agent runs an agent until ctx ends and its requests are finished.
@@ -39,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	pair, err := tls.LoadX509KeyPair(cfg.ServiceCertificate, cfg.ServiceKey)
+	pair, err := loader.LoadPair(cfg.ServiceCertificate, cfg.ServiceKey)
 	if err != nil {
 		return eris.Wrap(err, "service_certificate_file")
 	}
@@ -48,16 +47,30 @@
 		return err
 	}
 	a := newAgent(cfg, keys, n)
-	a.responder.Certificate = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS13}
+	a.responder.Certificate = &tls.Config{GetCertificate: pair.Get, MinVersion: tls.VersionTLS13}
 	a.responder.Recorder = rec
 	defer a.pool.Close()
 	defer a.claims.Close()
+	e, err := newExporter(cfg.Machine, func(now time.Time) error {
+		if _, ok := a.tracker.Self(); !ok {
+			return errUnknownUpstream
+		}
+		return n.ready(now, n.subscriber.World.Revision())
+	})
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(n.export(e, a.counter), exportFlows(e, a.tracker)); err != nil {
+		return err
+	}
 	if err := a.responder.Run(); err != nil {
 		return err
 	}
 	// Heartbeats continue while the agent drains, because its lease must stay valid.
 	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
+	g.run(reloadOnHangup(rec, keys, pair))
+	g.run(e.Run)
 	g.run((&connector.Server{Address: cfg.ControlAddress, TLS: keys.Server, Claims: a.owner}).Run)
 	g.run(a.expire)
 	rec.Info(recorder.MachineStarted)
@@ -66,12 +79,32 @@
 	case <-g.ctx.Done():
 		return g.wait()
 	}
-	err = a.drain(context.WithoutCancel(ctx))
+	n.stopping.Store(true)
+	rec.Info(recorder.StopBegun)
+	n.heartbeatNow()
+	awaitNoNewFlows(g, a.tracker)
+	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(cfg.Drain))
+	defer cancel()
+	err = a.responder.Shutdown(drain, a.handler.InFlight)
+	// Control learns that no flows are left here, so that chains leave this agent out at once.
+	a.stopped.Store(true)
+	n.lastHeartbeat(drain)
 	g.cancel(nil)
 	_ = g.wait()
 	return eris.Wrap(err, "drain")
 }
 
+// awaitNoNewFlows waits until the configuration gives new flows to other upstreams and the entries have had time to get it.
+// Until then the agent passes new flows on, which would be lost after its end.
+func awaitNoNewFlows(g *group, t *tracker.Tracker) {
+	for deadline := time.Now().Add(leaveTime); time.Now().Before(deadline) && g.ctx.Err() == nil; g.pause(leavePoll) {
+		if u, ok := t.Self(); !ok || u.Draining || u.Silent {
+			g.pause(2 * heartbeatInterval)
+			return
+		}
+	}
+}
+
 // agent holds the parts of one agent.
 type agent struct {
 	cfg       parser.Agent
@@ -84,6 +117,8 @@
 	pool      *responder.Pool
 	handler   *responder.Handler
 	responder *responder.Responder
+	// stopped is true once no flows are left at a planned stop.
+	stopped atomic.Bool
 }
 
 func newAgent(cfg parser.Agent, keys *loader.Material, n *node) *agent {
@@ -97,10 +132,9 @@
 		pool:      &responder.Pool{Address: cfg.UpstreamAddress, Broken: func() { l.TurnCold(time.Now()) }},
 	}
 	a.claims = &connector.Claims{TLS: keys.Client, Machine: cfg.Name, Local: a.owner}
-	ids := &stamper.Stamper{Keys: keys.ConnectionIDs}
 	a.tracker = &tracker.Tracker{
-		Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: a.admission, Counter: a.counter,
-		Stamper: ids,
+		Machine: cfg.Name, Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: l,
+		Counter: a.counter, Stamper: keys.Stamper,
 	}
 	var attempts atomic.Uint64
 	a.handler = &responder.Handler{
@@ -114,7 +148,7 @@
 		},
 	}
 	a.responder = &responder.Responder{
-		Tracker: a.tracker, Counter: a.counter, Key: keys.Data, Stamper: ids, ResetKey: keys.ResetKey,
+		Tracker: a.tracker, Counter: a.counter, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey,
 		DataAddress: cfg.DataAddress, Handler: a.handler, Upstream: cfg.UpstreamAddress, Newer: n.newer,
 	}
 	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder}
@@ -128,28 +162,10 @@
 	h.Announcement = &leaser.Announcement{
 		Upstream: a.cfg.Upstream, Service: a.cfg.Service, Slots: a.cfg.Slots,
 		Weight:     a.admission.limiter.Weight(time.Now()),
-		OldestFlow: a.tracker.Stats().Oldest, Draining: a.admission.draining.Load(),
+		OldestFlow: a.tracker.Stats().Oldest, Draining: a.node.stopping.Load(),
 	}
-}
-
-// drain lets other agents take new flows, and ends when all requests are finished.
-func (a *agent) drain(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, drainTime)
-	defer cancel()
-	a.admission.draining.Store(true)
-	a.node.heartbeatNow()
-	// Callers are asked to open new connections only when the other machines route them elsewhere.
-	pause(ctx, announceTime)
-	a.tracker.Drain()
-	return a.responder.Shutdown(ctx, a.handler.InFlight)
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+	if a.stopped.Load() {
+		h.Announcement.OldestFlow = 0
 	}
 }
 
@@ -164,6 +180,7 @@
 		case now := <-ticker.C:
 			a.tracker.Expire(now)
 			a.owner.Expire(now)
+			a.responder.Notify()
 		}
 	}
 }
--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
@@ -9,7 +11,6 @@
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/forwarder"
-	"github.com/peridotstage/peridotstage/internal/route/stamper"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -27,20 +28,41 @@
 	}
 	counts := &counter.Counter{}
 	f := &forwarder.Forwarder{
-		Stamper: &stamper.Stamper{Keys: keys.ConnectionIDs}, Lease: n.subscriber, Counter: counts, Entry: cfg.DataAddress,
+		Stamper: keys.Stamper, Lease: n.subscriber, Counter: counts, Entry: cfg.DataAddress,
 	}
 	l := &listener.Listener{
-		Decider: f, Counter: counts, Key: keys.Data, DataAddress: cfg.DataAddress, AddressMap: cfg.AddressMap,
+		Decider: f, Counter: counts, Keys: keys.Data, DataAddress: cfg.DataAddress, AddressMap: cfg.AddressMap,
 		Recorder: rec, Newer: n.newer,
 	}
 	n.subscriber.Enforcers = []subscriber.Enforcer{f, l}
 	n.describe = func(h *leaser.Heartbeat) { h.Evidence = counts.Evidence() }
+	e, err := newExporter(cfg.Machine, func(now time.Time) error {
+		return errors.Join(n.ready(now, f.Revision()), l.Problem())
+	})
+	if err != nil {
+		return err
+	}
+	if err := n.export(e, counts); err != nil {
+		return err
+	}
 	if err := l.Run(); err != nil {
 		return err
 	}
 	defer l.Stop()
-	g := newGroup(ctx)
+	// The entry keeps its lease and goes on forwarding while it lingers.
+	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
+	g.run(reloadOnHangup(rec, keys))
+	g.run(e.Run)
 	rec.Info(recorder.MachineStarted)
+	select {
+	case <-ctx.Done():
+	case <-g.ctx.Done():
+		return g.wait()
+	}
+	n.stopping.Store(true)
+	rec.Info(recorder.StopBegun)
+	g.pause(time.Duration(cfg.Linger))
+	g.cancel(nil)
 	return g.wait()
 }
--- a/internal/cli/runner/group.go
+++ b/internal/cli/runner/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // group runs functions until the first one fails or the context ends.
@@ -10,6 +11,10 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	wg     sync.WaitGroup
+	once   sync.Once
+	// err is the first failure of a function. The cause of ctx is of no use here, because a signal that ends the parent
+	// is a cause as well.
+	err error
 }
 
 func newGroup(ctx context.Context) *group {
@@ -21,17 +26,25 @@
 func (g *group) run(f func(ctx context.Context) error) {
 	g.wg.Go(func() {
 		if err := f(g.ctx); err != nil {
+			g.once.Do(func() { g.err = err })
 			g.cancel(err)
 		}
 	})
 }
 
+// pause waits for d or until the group ends.
+func (g *group) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-g.ctx.Done():
+	}
+}
+
 // wait returns the first failure once all functions have ended, or nil if the parent context ended.
 func (g *group) wait() error {
 	<-g.ctx.Done()
 	g.wg.Wait()
-	if err := context.Cause(g.ctx); err != context.Canceled {
-		return err
-	}
-	return nil
+	return g.err
 }
--- a/internal/front/administrator/administrator.go
+++ b/internal/front/administrator/administrator.go
@@ -33,8 +33,9 @@
 
 // Administrator serves the API. The exported fields are set before Run.
 type Administrator struct {
-	Address  netip.AddrPort
-	TLS      *tls.Config
+	Address netip.AddrPort
+	// TLS returns the configuration for a new connection.
+	TLS      func() *tls.Config
 	Log      Log
 	Ledger   *planner.Ledger
 	Leaser   *leaser.Leaser
@@ -43,17 +44,24 @@
 
 // Run serves requests until ctx ends.
 func (a *Administrator) Run(ctx context.Context) error {
-	server := &http.Server{Handler: a.Handler(), TLSConfig: a.TLS, ReadHeaderTimeout: headerTimeout}
-	ln, err := tls.Listen("tcp", a.Address.String(), a.TLS)
+	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: headerTimeout}
+	ln, err := tls.Listen("tcp", a.Address.String(), &tls.Config{
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return a.TLS(), nil },
+	})
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", a.Address)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(ln); ctx.Err() == nil {
+	serve := make(chan error, 1)
+	go func() { serve <- server.Serve(ln) }()
+	select {
+	case err := <-serve:
 		return eris.Wrap(err, "serve intent API")
+	case <-ctx.Done():
 	}
-	return nil
+	// Requests in progress end on their own, because a proposal is bounded by proposeTime.
+	finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), proposeTime)
+	defer cancel()
+	return eris.Wrap(server.Shutdown(finish), "finish requests")
 }
 
 // Handler returns the API without its transport.
--- a/internal/front/connector/claims.go
+++ b/internal/front/connector/claims.go
@@ -48,7 +48,8 @@
 
 // Claims calls claim owners. The exported fields are set before first use.
 type Claims struct {
-	TLS *tls.Config
+	// TLS returns the configuration for a new connection.
+	TLS func() *tls.Config
 	// Machine is this agent; its calls to itself go to Local.
 	Machine registrar.MachineName
 	Local   ClaimHandler
@@ -76,7 +77,7 @@
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 			defer cancel()
-			if r, err := c.peer(p).ask(ctx, p, c.TLS, call); err == nil {
+			if r, err := c.peer(p).ask(ctx, p, c.TLS(), call); err == nil {
 				replies <- claimer.OwnerReply{Peer: p, Reply: r}
 			}
 		})
--- a/internal/request/claimer/directory.go
+++ b/internal/request/claimer/directory.go
@@ -59,7 +59,7 @@
 func (d *Directory) Update(now time.Time, v registrar.ServiceView) {
 	var next []candidate
 	for _, u := range v.Upstreams {
-		if u.ZoneWithdrawn || u.Silent || !u.ControlAddress.IsValid() {
+		if u.ZoneWithdrawn || u.Draining || u.Silent || !u.ControlAddress.IsValid() {
 			continue
 		}
 		next = append(next, candidate{Peer: Peer{Machine: u.Machine, Address: u.ControlAddress}, zone: u.Zone})
--- a/internal/wire/encoder/claim.go
+++ b/internal/wire/encoder/claim.go
@@ -11,8 +11,8 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-// ErrMessage means that a message lacks a field or has a field outside its range.
-var ErrMessage = eris.New("malformed message")
+// ErrClaim means that a message about a claim lacks a field.
+var ErrClaim = eris.New("malformed claim message")
 
 // CallToMessage translates a call to a claim owner.
 func CallToMessage(c claimer.Call) *messenger.ClaimCall {
@@ -41,7 +41,7 @@
 		return c, err
 	}
 	if copy(c.Digest[:], m.GetDigest()) != len(c.Digest) {
-		return c, eris.Wrap(ErrMessage, "digest")
+		return c, eris.Wrap(ErrClaim, "digest")
 	}
 	return c, nil
 }
@@ -63,7 +63,7 @@
 		return r, err
 	}
 	if r.Verdict == claimer.Answered && r.Answer == nil {
-		return r, eris.Wrap(ErrMessage, "answer")
+		return r, eris.Wrap(ErrClaim, "answer")
 	}
 	return r, nil
 }
