Refuse system changes made for an old revision, and bound leases of silent instances

A system command now carries the revision it was worked out for and is refused as stale if an operator's change has come between; the next heartbeat works it out anew.

A second announcer of an upstream was refused only if the first one's lease was granted by the same instance. All instances are asked now.

--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -33,10 +33,10 @@
 	log administrator.Log
 }
 
-// ProposeChanges proposes changes as one entry and returns why they were not applied.
-func (p *proposer) ProposeChanges(changes []registrar.Change) error {
+// ProposeChanges proposes changes that were worked out for revision base as one entry and returns why they were not applied.
+func (p *proposer) ProposeChanges(base registrar.Revision, changes []registrar.Change) error {
 	entry, err := json.Marshal(planner.Command{
-		Kind: planner.CommandSystem, AtMilli: time.Now().UnixMilli(), Changes: changes,
+		Kind: planner.CommandSystem, AtMilli: time.Now().UnixMilli(), Changes: changes, Base: base,
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode changes")
@@ -76,6 +76,7 @@
 	}
 	sessions := &leaser.Leaser{}
 	all := &gatherer.Gatherer{Local: sessions, Directory: log, Asker: peers}
+	sessions.Elsewhere = all
 	p := &proposer{log: log}
 	e, err := newExporter(cfg.Machine, func(time.Time) error {
 		if ctx.Err() != nil {
@@ -93,7 +94,7 @@
 	g.run(log.Run)
 	g.run(peers.Run)
 	g.run((&connector.Server{
-		Address: cfg.ControlAddress, TLS: keys.Server, Consensus: log, Sessions: sessions,
+		Address: cfg.ControlAddress, TLS: keys.Server, Consensus: log, Reporter: all,
 		Heartbeats: &granter.Granter{
 			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: log, Proposer: p,
 		},
@@ -131,11 +132,12 @@
 			if since.IsZero() {
 				since = now
 			}
+			base := w.Revision()
 			changes := all.Silent(ctx, w)
 			// A new leader may not have heard of all nodes yet.
 			if len(changes) > 0 && now.Sub(since) >= leaser.SilentAfter {
 				// A failed proposal is tried again in the next round.
-				_ = p.ProposeChanges(changes)
+				_ = p.ProposeChanges(base, changes)
 			}
 		}
 	}
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotstage/peridotstage/internal/control/replicator"
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -256,6 +257,16 @@
 	return netip.AddrPort{}, false
 }
 
+// LeaseEnds returns, at a leader, when the last lease ends that each other instance can have granted unless it hears from the
+// leader again: a follower grants leases that end at most subscriber.LeaseTime after its newest answer.
+func (d *Driver) LeaseEnds(now time.Time) map[registrar.MachineName]time.Time {
+	ends := map[registrar.MachineName]time.Time{}
+	for name, heard := range d.replica.HeardAt(now) {
+		ends[name] = heard.Add(subscriber.LeaseTime)
+	}
+	return ends
+}
+
 // Others returns the names of the other control instances in the log.
 func (d *Driver) Others() []registrar.MachineName {
 	var names []registrar.MachineName
--- a/internal/control/driver/store.go
+++ b/internal/control/driver/store.go
@@ -105,7 +105,8 @@
 	ballot  elector.Ballot
 	base    replicator.Position
 	entries []replicator.Entry
-	based   bool
+	// based is true once base is known, and exact if a reset record has named it.
+	based, exact bool
 }
 
 func (r *replay) add(rec journaler.Record) (journaler.Mark, error) {
@@ -116,7 +117,7 @@
 		return 0, err
 	case kindReset:
 		p, err := decodePosition(rec.Body)
-		r.base, r.based, r.entries = p, true, nil
+		r.base, r.based, r.exact, r.entries = p, true, true, nil
 		return journaler.Mark(p.Index), err
 	case kindEntry:
 		e, err := decodeEntry(rec.Body)
@@ -129,17 +130,13 @@
 }
 
 func (r *replay) addEntry(e replicator.Entry) error {
-	if len(r.entries) == 0 {
-		if !r.based {
-			// Older segments have been released.
-			r.base, r.based = replicator.Position{Index: e.Index - 1}, true
-		}
-		if e.Index != r.base.Index+1 {
-			return eris.Wrapf(journaler.ErrCorrupt, "entry %d after %d", e.Index, r.base.Index)
-		}
+	if !r.based || !r.exact && e.Index <= r.base.Index {
+		// Older segments have been released. Their entries may have reached beyond the first one that is left.
+		r.base, r.based, r.entries = replicator.Position{Index: e.Index - 1}, true, nil
 	}
-	if e.Index <= r.base.Index || e.Index > r.base.Index+replicator.Index(len(r.entries))+1 {
-		return eris.Wrapf(journaler.ErrCorrupt, "entry %d after %d", e.Index, r.base.Index+replicator.Index(len(r.entries)))
+	last := r.base.Index + replicator.Index(len(r.entries))
+	if e.Index <= r.base.Index || e.Index > last+1 {
+		return eris.Wrapf(journaler.ErrCorrupt, "entry %d after entries %d to %d", e.Index, r.base.Index+1, last)
 	}
 	r.entries = append(r.entries[:e.Index-r.base.Index-1], e)
 	return nil
--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -279,6 +279,13 @@
 	return e.follow(now, e.ballot.Term)
 }
 
+// ElectedAt returns when this member became leader last.
+func (e *Elector) ElectedAt() time.Time {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.electedAt
+}
+
 // Ballot returns the current ballot.
 func (e *Elector) Ballot() Ballot {
 	e.mu.RLock()
--- a/internal/control/granter/granter.go
+++ b/internal/control/granter/granter.go
@@ -18,7 +18,8 @@
 
 // Proposer writes changes that the system makes itself to the log.
 type Proposer interface {
-	ProposeChanges(changes []registrar.Change) error
+	// ProposeChanges proposes changes that were worked out for a revision.
+	ProposeChanges(base registrar.Revision, changes []registrar.Change) error
 }
 
 // Granter answers heartbeats. The exported fields are set before first use.
@@ -33,9 +34,10 @@
 // Heartbeat records the heartbeat of a node and returns the reply. The error says why the node's announcement was refused;
 // the reply is valid all the same.
 func (g *Granter) Heartbeat(now time.Time, h leaser.Heartbeat) (subscriber.Reply, error) {
+	base := g.World.Revision()
 	changes, refusal := g.Leaser.Changes(now, g.World, h)
 	if len(changes) > 0 {
-		refusal = g.Proposer.ProposeChanges(changes)
+		refusal = g.Proposer.ProposeChanges(base, changes)
 	}
 	r := g.reply(now, h.Revision)
 	g.Leaser.Record(now, h, r.Granted)
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -59,6 +59,9 @@
 
 // Leaser holds the sessions of one control instance. The zero value is ready for use.
 type Leaser struct {
+	// Elsewhere knows the sessions of the other control instances; nil if there are none. It is set before first use.
+	Elsewhere Elsewhere
+
 	shards [shardCount]shard
 }
 
@@ -119,7 +122,7 @@
 	}
 	old, had := w.Upstream(a.Upstream)
 	if had && old.Machine != h.Machine.Name {
-		if s, ok := l.Session(old.Machine); ok && now.Before(s.LeaseUntil) {
+		if now.Before(l.leaseUntil(old.Machine)) {
 			return nil, eris.Wrapf(ErrTaken, "upstream %q, machine %q", a.Upstream, old.Machine)
 		}
 	}
--- a/internal/control/planner/intent.go
+++ b/internal/control/planner/intent.go
@@ -81,6 +81,9 @@
 	Intent  *Intent            `json:"intent,omitempty"`
 	Plan    PlanID             `json:"plan,omitempty"`
 	Changes []registrar.Change `json:"changes,omitempty"`
+	// Base is the revision that Changes of the system were worked out for. An instance may work on an old revision, so the
+	// changes are refused if an operator's change has come between.
+	Base registrar.Revision `json:"base_revision,omitempty"`
 }
 
 // FailureCode classifies a refusal.
--- a/internal/control/planner/ledger.go
+++ b/internal/control/planner/ledger.go
@@ -81,7 +81,7 @@
 
 func (l *Ledger) apply(c Command) Result {
 	if c.Kind == CommandSystem {
-		return l.commit(c.Changes)
+		return l.system(c)
 	}
 	hash := contentHash(c)
 	if r, known := l.remembered(c, hash); known {
@@ -100,6 +100,19 @@
 	return r
 }
 
+func (l *Ledger) system(c Command) Result {
+	l.planMu.RLock()
+	newest := l.operatorRevision
+	l.planMu.RUnlock()
+	if newest > c.Base {
+		return Result{Revision: l.World.Revision(), Failure: &Failure{
+			Code:    FailureStale,
+			Message: fmt.Sprintf("changes were made for revision %d, and revision %d has come between", c.Base, newest),
+		}}
+	}
+	return l.commit(c.Changes)
+}
+
 func contentHash(c Command) uint64 {
 	c.AtMilli = 0
 	b, err := json.Marshal(c)
--- a/internal/control/replicator/membership.go
+++ b/internal/control/replicator/membership.go
@@ -43,6 +43,27 @@
 	return all
 }
 
+// HeardAt returns, at a leader with a valid leader lease, when each other instance was heard last. Before the leader was
+// elected an instance may have led itself, so that moment is the earliest.
+func (r *Replica) HeardAt(now time.Time) map[registrar.MachineName]time.Time {
+	if !r.elector.Leased(now) {
+		return nil
+	}
+	since := r.elector.ElectedAt()
+	heard := map[registrar.MachineName]time.Time{}
+	members, _ := r.log.Members()
+	for _, m := range members {
+		at := since
+		if p := r.peer(m.ID); p != nil && p.Status().HeardAt.After(at) {
+			at = p.Status().HeardAt
+		}
+		if old, ok := heard[m.Name]; m.ID != r.Self && (!ok || at.After(old)) {
+			heard[m.Name] = at
+		}
+	}
+	return heard
+}
+
 // changeable returns why the membership cannot change now. Two changes at once, or one before the leader knows what is
 // committed, could give two majorities without a common member.
 func (r *Replica) changeable() error {
--- a/internal/fake/conductor/conductor.go
+++ b/internal/fake/conductor/conductor.go
@@ -185,8 +185,8 @@
 }
 
 // ProposeChanges implements granter.Proposer.
-func (c *Conductor) ProposeChanges(changes []registrar.Change) error {
-	r := c.apply(planner.Command{Kind: planner.CommandSystem, Changes: changes})
+func (c *Conductor) ProposeChanges(base registrar.Revision, changes []registrar.Change) error {
+	r := c.apply(planner.Command{Kind: planner.CommandSystem, Base: base, Changes: changes})
 	if r.Failure != nil {
 		return r.Failure
 	}
--- a/internal/fake/measurer/capacity_test.go
+++ b/internal/fake/measurer/capacity_test.go
@@ -139,7 +139,7 @@
 // refuseProposals is a log that must not be used.
 type refuseProposals struct{ t *testing.T }
 
-func (r refuseProposals) ProposeChanges([]registrar.Change) error {
+func (r refuseProposals) ProposeChanges(registrar.Revision, []registrar.Change) error {
 	r.t.Error("a heartbeat without news was proposed")
 	return nil
 }
--- a/internal/front/connector/consensus.go
+++ b/internal/front/connector/consensus.go
@@ -25,7 +25,7 @@
 // consensusService translates calls of messenger.Consensus.
 type consensusService struct {
 	handler  ConsensusHandler
-	sessions SessionSource
+	reporter Reporter
 }
 
 // peer returns the name in the caller's certificate. Other machines of the system may not take part in the log.
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -27,8 +27,8 @@
 	Heartbeats HeartbeatHandler
 	// Consensus takes messages of other control instances; nil on machines that are none.
 	Consensus ConsensusHandler
-	// Sessions is asked by other control instances; it is set together with Consensus.
-	Sessions SessionSource
+	// Reporter answers other control instances; it is set together with Consensus.
+	Reporter Reporter
 }
 
 // HeartbeatHandler answers heartbeats.
@@ -45,7 +45,7 @@
 		}
 	}
 	if s.Consensus != nil {
-		if err := messenger.DRPCRegisterConsensus(mux, &consensusService{s.Consensus, s.Sessions}); err != nil {
+		if err := messenger.DRPCRegisterConsensus(mux, &consensusService{s.Consensus, s.Reporter}); err != nil {
 			return eris.Wrap(err, "register consensus service")
 		}
 	}
--- a/internal/front/connector/session.go
+++ b/internal/front/connector/session.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/gatherer"
 	"github.com/peridotstage/peridotstage/internal/wire/encoder"
 	"github.com/peridotstage/peridotstage/internal/wire/messenger"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -15,16 +15,16 @@
 // ErrUnknownPeer means that no address is known for a control instance.
 var ErrUnknownPeer = eris.New("control instance has no known address")
 
-// SessionSource has the nodes that this instance has heard.
-type SessionSource interface {
-	Sessions() []leaser.Session
+// Reporter tells other control instances what this one knows about nodes.
+type Reporter interface {
+	Report(now time.Time) gatherer.Report
 }
 
-// Sessions asks another control instance for the nodes that it has heard.
-func (p *Peers) Sessions(ctx context.Context, name registrar.MachineName) ([]leaser.Session, error) {
+// Ask asks another control instance what it knows about nodes.
+func (p *Peers) Ask(ctx context.Context, name registrar.MachineName) (r gatherer.Report, err error) {
 	address, ok := p.Addresses.Address(name)
 	if !ok {
-		return nil, eris.Wrapf(ErrUnknownPeer, "%q", name)
+		return r, eris.Wrapf(ErrUnknownPeer, "%q", name)
 	}
 	c := p.idleClient(address)
 	askedAt := time.Now()
@@ -32,15 +32,15 @@
 	conn, err := c.connect(ctx)
 	c.mu.Unlock()
 	if err != nil {
-		return nil, err
+		return r, err
 	}
 	reply, err := messenger.NewDRPCConsensusClient(conn).Sessions(ctx, &messenger.SessionsRequest{Protocol: encoder.Protocol})
 	if err != nil {
 		c.Close()
-		return nil, eris.Wrapf(err, "ask %s for sessions", address)
+		return r, eris.Wrapf(err, "ask %s for sessions", address)
 	}
 	p.keep(c)
-	return encoder.SessionsFromMessage(askedAt, time.Now(), reply)
+	return encoder.ReportFromMessage(askedAt, time.Now(), reply)
 }
 
 // Sessions returns the nodes that this instance has heard.
@@ -51,5 +51,6 @@
 	if err := encoder.CheckProtocol(m.GetProtocol()); err != nil {
 		return nil, err
 	}
-	return encoder.SessionsToMessage(time.Now(), s.sessions.Sessions())
+	now := time.Now()
+	return encoder.ReportToMessage(now, s.reporter.Report(now))
 }
