--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/peridotstage/peridotstage/internal/control/driver"
-	"github.com/peridotstage/peridotstage/internal/control/gatherer"
 	"github.com/peridotstage/peridotstage/internal/control/granter"
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
@@ -21,40 +19,25 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-const (
-	silentInterval = 1 * time.Second
-	// systemProposeTime bounds the wait for a change that the system makes itself. It is shorter than heartbeatTimeout, so
-	// that a node gets its reply even while the log makes no progress.
-	systemProposeTime = 500 * time.Millisecond
-)
+// peers returns a client for each other control instance.
+func peers(cfg parser.Control, keys *loader.Material) map[registrar.MachineName]*connector.Client {
+	all := map[registrar.MachineName]*connector.Client{}
+	for name, address := range cfg.Members {
+		if name != cfg.Name {
+			all[name] = &connector.Client{Address: address, TLS: keys.Client}
+		}
+	}
+	return all
+}
 
-// proposer writes system changes to the log.
-type proposer struct {
-	log administrator.Log
+// faultReporter logs faults of nodes.
+type faultReporter struct {
+	recorder *recorder.Recorder
 }
 
-// ProposeChanges proposes changes that were worked out for revision base as one entry and returns why they were not applied.
-func (p *proposer) ProposeChanges(base registrar.Revision, changes []registrar.Change) error {
-	entry, err := json.Marshal(planner.Command{
-		Kind: planner.CommandSystem, AtMilli: time.Now().UnixMilli(), Changes: changes, Base: base,
-	})
-	if err != nil {
-		return eris.Wrap(err, "encode changes")
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), systemProposeTime)
-	defer cancel()
-	out, err := p.log.Propose(ctx, entry)
-	if err != nil {
-		return err
-	}
-	var r planner.Result
-	if err := json.Unmarshal(out, &r); err != nil {
-		return eris.Wrap(err, "decode result")
-	}
-	if r.Failure != nil {
-		return r.Failure
-	}
-	return nil
+// DigestDiffers logs that a node enforced another configuration than the one of its revision.
+func (f faultReporter) DigestDiffers(machine registrar.MachineName, at registrar.Revision) {
+	f.recorder.Error(recorder.DigestDiffers, zap.String("machine", string(machine)), zap.Uint64("revision", uint64(at)))
 }
 
 // Control runs a control instance until ctx ends.
@@ -65,19 +48,17 @@
 	}
 	updates := &publisher.Publisher{}
 	ledger := planner.NewLedger(updates)
-	peers := &connector.Peers{TLS: keys.Client, Recorder: rec}
+	others := &connector.Peers{TLS: keys.Client, Recorder: rec}
 	log := &driver.Driver{
-		Name: cfg.Name, Folder: cfg.DataFolder, Members: cfg.Members, Machine: ledger, Sender: peers, Forwarder: peers,
+		Name: cfg.Name, Folder: cfg.DataFolder, Members: cfg.Members, Machine: ledger, Sender: others, Forwarder: others,
 		Recorder: rec,
 	}
-	peers.Addresses = log
 	if err := log.Open(); err != nil {
 		return err
 	}
 	sessions := &leaser.Leaser{}
-	all := &gatherer.Gatherer{Local: sessions, Directory: log, Asker: peers}
-	sessions.Elsewhere = all
-	p := &proposer{log: log}
+	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Peers: peers(cfg, keys)}
+	announcements := newAnnouncer(log, rec)
 	e, err := newExporter(cfg.Machine, func(time.Time) error {
 		if ctx.Err() != nil {
 			return errStopping
@@ -92,53 +73,23 @@
 	}
 	g := newGroup(ctx)
 	g.run(log.Run)
-	g.run(peers.Run)
+	g.run(others.Run)
 	g.run((&connector.Server{
-		Address: cfg.ControlAddress, TLS: keys.Server, Consensus: log, Reporter: all,
+		Address: cfg.ControlAddress, TLS: keys.Server,
 		Heartbeats: &granter.Granter{
-			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: log, Proposer: p,
+			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: log,
+			Announcer: announcements, Reporter: faultReporter{rec},
 		},
+		Collector: collector, Consensus: log,
 	}).Run)
 	g.run((&administrator.Administrator{
-		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Leaser: sessions, Recorder: rec,
-		Gatherer: all, Membership: log,
+		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Collector: collector, Authority: log,
+		Recorder: rec, Membership: log,
 	}).Run)
-	g.run(func(ctx context.Context) error { return markSilent(ctx, ledger.World, log, all, p) })
+	g.run(announcements.run)
+	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: log, Recorder: rec}).run)
 	g.run(reloadOnHangup(rec, keys))
 	g.run(e.Run)
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
 }
-
-// leadership tells whether this instance is the leader.
-type leadership interface {
-	Leading(now time.Time) bool
-}
-
-// markSilent takes upstreams that no control instance hears any more out of new generations. Only the leader does it.
-func markSilent(ctx context.Context, w *registrar.World, l leadership, all *gatherer.Gatherer, p *proposer) error {
-	ticker := time.NewTicker(silentInterval)
-	defer ticker.Stop()
-	var since time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			if !l.Leading(now) {
-				since = time.Time{}
-				continue
-			}
-			if since.IsZero() {
-				since = now
-			}
-			base := w.Revision()
-			changes := all.Silent(ctx, w)
-			// A new leader may not have heard of all nodes yet.
-			if len(changes) > 0 && now.Sub(since) >= leaser.SilentAfter {
-				// A failed proposal is tried again in the next round.
-				_ = p.ProposeChanges(base, changes)
-			}
-		}
-	}
-}
--- a/internal/cli/runner/control_test.go
+++ b/internal/cli/runner/control_test.go
@@ -20,9 +20,6 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-// inForce is the promise that a confirmed change is in force everywhere.
-const inForce = 3 * time.Second
-
 // failover bounds the time without a leader: the election takes about 1 s, and node leases of 2.5 s must outlast it.
 const failover = 2500 * time.Millisecond
 
@@ -38,8 +35,8 @@
 
 var zoneNumber int
 
-// addZone carries out one change and returns the revision that confirmed it.
-func addZone(d *deployer.Deployment) registrar.Revision {
+// addNextZone carries out one change and returns the revision that confirmed it.
+func addNextZone(d *deployer.Deployment) registrar.Revision {
 	zoneNumber++
 	name := registrar.ZoneName(fmt.Sprintf("zone-%d", zoneNumber))
 	return d.Carry(planner.Intent{Kind: planner.AddZone, Zone: &registrar.Zone{Name: name, Region: "johor"}}).Revision
@@ -109,11 +106,11 @@
 func TestLeaderKilled(t *testing.T) {
 	d := newControlGroup(t)
 	for range 2 {
-		before := addZone(d)
+		before := addNextZone(d)
 		l := leader(t, d)
 		process(d, l).Kill()
 		start := time.Now()
-		r := addZone(d)
+		r := addNextZone(d)
 		require.Greater(t, r, before)
 		require.Less(t, time.Since(start), failover)
 		waitInForce(t, d, r, inForce)
@@ -150,7 +147,7 @@
 		_, err := d.API(l, "GET", "/v1/status", nil, &st)
 		return err == nil && st.Revision >= r && lowest(st, d.Entries) >= r
 	}, inForce, 20*time.Millisecond, "the thawed instance does not catch up")
-	next := addZone(d)
+	next := addNextZone(d)
 	require.Greater(t, next, r)
 	waitInForce(t, d, next, inForce)
 }
@@ -160,7 +157,7 @@
 	d := newControlGroup(t)
 	var last registrar.Revision
 	for range 300 {
-		last = addZone(d)
+		last = addNextZone(d)
 	}
 	before := d.Status()
 	for i := range d.Controls {
@@ -169,7 +166,7 @@
 	for i := range d.Controls {
 		d.StartControl(i)
 	}
-	next := addZone(d)
+	next := addNextZone(d)
 	require.Greater(t, next, last)
 	after := d.Status()
 	require.Len(t, after.Zones, len(before.Zones)+1)
@@ -181,7 +178,7 @@
 	d := newControlGroup(t)
 	first := leader(t, d)
 	for _, i := range []int{first, (first + 1) % 3, (first + 2) % 3} {
-		r := addZone(d)
+		r := addNextZone(d)
 		lost := identity(t, d, i, 0)
 		process(d, i).Kill()
 		require.NoError(t, os.RemoveAll(filepath.Join(d.Folder, fmt.Sprintf("control-%d", i))))
@@ -189,7 +186,7 @@
 		waitRepaired(t, d, i, identity(t, d, i, lost))
 		require.GreaterOrEqual(t, d.Status().Revision, r)
 	}
-	r := addZone(d)
+	r := addNextZone(d)
 	waitInForce(t, d, r, inForce)
 }
 
@@ -355,12 +352,12 @@
 	require.Eventually(t, func() bool {
 		var st administrator.Status
 		_, err := d.API(i, "GET", "/v1/status", nil, &st)
-		return err == nil && enforced(st, d.Entries, r)
+		return err == nil && entriesEnforce(st, d.Entries, r)
 	}, inForce, 20*time.Millisecond, "revision %d is not in force everywhere", r)
 }
 
-// enforced reports whether the entries' newest known revisions have reached r.
-func enforced(st administrator.Status, nodes int, r registrar.Revision) bool {
+// entriesEnforce reports whether the entries' newest known revisions have reached r.
+func entriesEnforce(st administrator.Status, nodes int, r registrar.Revision) bool {
 	n := 0
 	for _, s := range st.Nodes {
 		if s.Role == registrar.RoleEntry && s.Revision >= r {
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotstage/peridotstage/internal/control/replicator"
-	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -134,6 +133,12 @@
 func (d *Driver) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	// A sole voter founds its log with the first tick and leads with the second.
+	for range 2 {
+		if err := d.handle(replicator.Tick{}); err != nil {
+			return err
+		}
+	}
 	for {
 		var ev replicator.Event
 		select {
@@ -240,40 +245,8 @@
 
 // Admits reports whether a machine is a control instance by the settings or by the log.
 func (d *Driver) Admits(name registrar.MachineName) bool {
-	_, ok := d.Address(name)
-	return ok
-}
-
-// Address returns where a control instance takes calls. Settings go before the log.
-func (d *Driver) Address(name registrar.MachineName) (netip.AddrPort, bool) {
-	if a, ok := d.Members[name]; ok {
-		return a, true
-	}
-	for _, m := range d.replica.Status() {
-		if m.Name == name {
-			return m.Address, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
-
-// LeaseEnds returns, at a leader, when the last lease ends that each other instance can have granted unless it hears from the
-// leader again: a follower grants leases that end at most subscriber.LeaseTime after its newest answer.
-func (d *Driver) LeaseEnds(now time.Time) map[registrar.MachineName]time.Time {
-	ends := map[registrar.MachineName]time.Time{}
-	for name, heard := range d.replica.HeardAt(now) {
-		ends[name] = heard.Add(subscriber.LeaseTime)
-	}
-	return ends
-}
-
-// Others returns the names of the other control instances in the log.
-func (d *Driver) Others() []registrar.MachineName {
-	var names []registrar.MachineName
-	for _, m := range d.replica.Status() {
-		if m.Name != d.Name && m.ID != 0 && !slices.Contains(names, m.Name) {
-			names = append(names, m.Name)
-		}
+	if _, ok := d.Members[name]; ok {
+		return true
 	}
-	return names
+	return slices.ContainsFunc(d.replica.Status(), func(m replicator.MemberStatus) bool { return m.Name == name })
 }
--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -69,12 +69,15 @@
 		}
 		return Outcome{}
 	}
-	if now.Before(e.electAt) {
+	voters := e.Electorate.Voters()
+	// A sole voter has nobody to wait for.
+	sole := len(voters) == 1 && voters[0] == e.Self
+	if now.Before(e.electAt) && !sole {
 		return Outcome{}
 	}
 	e.leader = 0
 	e.delay(now)
-	if !slices.Contains(e.Electorate.Voters(), e.Self) {
+	if !slices.Contains(voters, e.Self) {
 		e.role = Follower
 		return Outcome{}
 	}
@@ -279,13 +282,6 @@
 	return e.follow(now, e.ballot.Term)
 }
 
-// ElectedAt returns when this member became leader last.
-func (e *Elector) ElectedAt() time.Time {
-	e.mu.RLock()
-	defer e.mu.RUnlock()
-	return e.electedAt
-}
-
 // Ballot returns the current ballot.
 func (e *Elector) Ballot() Ballot {
 	e.mu.RLock()
--- a/internal/front/administrator/members.go
+++ b/internal/front/administrator/members.go
@@ -6,11 +6,9 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
-	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // Membership is the membership of the control log.
@@ -19,48 +17,47 @@
 	ChangeMembers(ctx context.Context, c replicator.Change) error
 }
 
-// Gatherer has the sessions of all control instances and names those that did not answer.
-type Gatherer interface {
-	Sessions(ctx context.Context) ([]leaser.Session, []registrar.MachineName)
-}
-
 // MembersStatus is the answer to a request for the members.
 type MembersStatus struct {
 	Members []replicator.MemberStatus `json:"members"`
 }
 
-func (a *Administrator) sessions(ctx context.Context) []leaser.Session {
-	if a.Gatherer == nil {
-		return a.Leaser.Sessions()
+// memberRoutes returns the operations on the members of the control log.
+func (a *Administrator) memberRoutes() []route {
+	return []route{
+		{
+			Method: http.MethodGet, Path: "/v1/members", Summary: "List the members of the control log.",
+			Answer: typeOf[MembersStatus](), serve: func(c *call) { c.ok(a.membersStatus()) },
+		},
+		{
+			Method: http.MethodPost, Path: "/v1/members", Body: typeOf[replicator.Change](), Answer: typeOf[MembersStatus](),
+			Summary: "Add, remove or promote one member of the control log. It takes effect at once.", serve: a.changeMembers,
+		},
 	}
-	all, _ := a.Gatherer.Sessions(ctx)
-	return all
 }
 
-func (a *Administrator) members(w http.ResponseWriter, r *http.Request) {
-	if _, ok := a.operator(w, r); ok {
-		writeJSON(w, http.StatusOK, MembersStatus{Members: a.Membership.Status()})
+func (a *Administrator) membersStatus() MembersStatus {
+	if a.Membership == nil {
+		return MembersStatus{Members: []replicator.MemberStatus{}}
 	}
+	return MembersStatus{Members: append([]replicator.MemberStatus{}, a.Membership.Status()...)}
 }
 
-func (a *Administrator) changeMembers(w http.ResponseWriter, r *http.Request) {
-	if _, ok := a.operator(w, r); !ok {
-		return
-	}
-	var c replicator.Change
-	if !readBody(w, r, &c) {
+func (a *Administrator) changeMembers(c *call) {
+	var change replicator.Change
+	if !c.body(&change) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), proposeTime)
+	ctx, cancel := context.WithTimeout(c.request.Context(), proposeTime)
 	defer cancel()
-	err := a.Membership.ChangeMembers(ctx, c)
+	err := a.Membership.ChangeMembers(ctx, change)
 	switch {
 	case err == nil:
-		writeJSON(w, http.StatusOK, MembersStatus{Members: a.Membership.Status()})
+		c.ok(a.membersStatus())
 	case eris.Is(err, replicator.ErrMembership):
-		writeFailure(w, http.StatusConflict, &planner.Failure{Code: planner.FailureConflict, Message: err.Error()})
+		c.fail(http.StatusConflict, &planner.Failure{Code: planner.FailureConflict, Message: err.Error()})
 	default:
 		a.Recorder.Warn(recorder.ProposalFailed, recorder.Err(err))
-		writeFailure(w, http.StatusServiceUnavailable, &planner.Failure{Code: "unavailable", Message: err.Error()})
+		c.fail(http.StatusServiceUnavailable, &planner.Failure{Code: "unavailable", Message: err.Error()})
 	}
 }
--- a/internal/front/connector/consensus.go
+++ b/internal/front/connector/consensus.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"time"
 
-	"storj.io/drpc/drpcctx"
-
 	"github.com/peridotstage/peridotstage/internal/control/replicator"
-	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/wire/encoder"
 	"github.com/peridotstage/peridotstage/internal/wire/messenger"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -24,22 +20,16 @@
 
 // consensusService translates calls of messenger.Consensus.
 type consensusService struct {
-	handler  ConsensusHandler
-	reporter Reporter
+	handler ConsensusHandler
 }
 
 // peer returns the name in the caller's certificate. Other machines of the system may not take part in the log.
 func (s *consensusService) peer(ctx context.Context) (registrar.MachineName, error) {
-	tr, _ := drpcctx.Transport(ctx)
-	conn, ok := tr.(*tls.Conn)
-	if !ok {
-		return "", ErrPeer
-	}
-	name, ok := loader.PeerName(conn.ConnectionState(), loader.HolderMachine)
-	if !ok || !s.handler.Admits(registrar.MachineName(name)) {
+	name, ok := peerName(ctx)
+	if !ok || !s.handler.Admits(name) {
 		return "", ErrPeer
 	}
-	return registrar.MachineName(name), nil
+	return name, nil
 }
 
 // Deliver takes a batch of messages.
--- /dev/null
+++ b/internal/report/recorder/intent.go
@@ -0,0 +1,9 @@
+package recorder
+
+// The events of intents, announcements and proofs.
+var (
+	OperatorActed       = Event{4201, "operator acted"}
+	AnnouncementsLogged = Event{4202, "announcements logged"}
+	DigestDiffers       = Event{4203, "configuration digest differs"}
+	ProofMade           = Event{4204, "proof made"}
+)
--- a/internal/wire/encoder/session.go
+++ b/internal/wire/encoder/session.go
@@ -3,53 +3,62 @@
 import (
 	"time"
 
-	"github.com/peridotstage/peridotstage/internal/control/gatherer"
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/wire/messenger"
-	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-// ReportToMessage translates a report for another control instance. Times travel as durations, because clocks differ.
-func ReportToMessage(now time.Time, r gatherer.Report) (*messenger.SessionsReply, error) {
-	m := &messenger.SessionsReply{Protocol: Protocol}
-	for name, end := range r.LeaseEnds {
-		m.LeaseEnds = append(m.LeaseEnds, &messenger.LeaseEnd{Instance: string(name), RemainingMicros: micros(end.Sub(now))})
-	}
-	for _, s := range r.Sessions {
-		h, err := HeartbeatToMessage(s.Heartbeat)
+// Sessions is the answer of a control instance that was asked for its sessions.
+type Sessions struct {
+	Running  time.Duration
+	Sessions []leaser.Session
+}
+
+// SessionsToMessage translates sessions as they are at now. Times become ages, because clocks of machines differ.
+func SessionsToMessage(now time.Time, s Sessions) (*messenger.SessionsReply, error) {
+	m := &messenger.SessionsReply{Protocol: Protocol, RunningMicros: uint64(max(s.Running, 0).Microseconds())}
+	for _, v := range s.Sessions {
+		report, err := HeartbeatToMessage(v.Heartbeat)
 		if err != nil {
 			return nil, err
 		}
-		m.Sessions = append(m.Sessions, &messenger.NodeSession{
-			Heartbeat: h, HeardMicros: micros(now.Sub(s.HeardAt)), LeaseMicros: micros(s.LeaseUntil.Sub(now)),
+		m.Sessions = append(m.Sessions, &messenger.Session{
+			Report: report, EvidenceKnown: v.EvidenceKnown,
+			// Both are rounded up, so that a report never gets fresher and a lease never shorter from the encoding.
+			HeardAgoMicros:  uint64(max(now.Sub(v.HeardAt), 0).Microseconds()) + 1,
+			LeaseLeftMicros: micros(v.LeaseUntil.Sub(now)),
 		})
 	}
 	return m, nil
 }
 
-// ReportFromMessage translates a received report. askedAt is a clock reading from before the call, and now one from after
-// it: a node is taken to have been heard at the earliest and to hold its lease until the latest possible time.
-func ReportFromMessage(askedAt, now time.Time, m *messenger.SessionsReply) (r gatherer.Report, err error) {
-	if err := CheckProtocol(m.GetProtocol()); err != nil {
-		return r, err
+// micros rounds a time that is left up to microseconds; 0 means that none is left.
+func micros(d time.Duration) uint64 {
+	if d < 0 {
+		return 0
 	}
-	for _, e := range m.GetLeaseEnds() {
-		if r.LeaseEnds == nil {
-			r.LeaseEnds = map[registrar.MachineName]time.Time{}
-		}
-		r.LeaseEnds[registrar.MachineName(e.GetInstance())] = now.Add(time.Duration(e.GetRemainingMicros()+1) * time.Microsecond)
+	return uint64(d.Microseconds()) + 1
+}
+
+// SessionsFromMessage translates an answer to a question that was asked at askedAt and arrived at now. Reports are taken to be
+// as old, and leases to run as long, as the time of the call allows.
+func SessionsFromMessage(askedAt, now time.Time, m *messenger.SessionsReply) (Sessions, error) {
+	s := Sessions{Running: time.Duration(m.GetRunningMicros()) * time.Microsecond}
+	if err := CheckProtocol(m.GetProtocol()); err != nil {
+		return s, err
 	}
-	for _, s := range m.GetSessions() {
-		h, err := HeartbeatFromMessage(s.GetHeartbeat())
+	for _, v := range m.GetSessions() {
+		h, err := HeartbeatFromMessage(v.GetReport())
 		if err != nil {
-			return r, err
+			return s, err
 		}
-		r.Sessions = append(r.Sessions, leaser.Session{
-			Heartbeat: h, HeardAt: askedAt.Add(-time.Duration(s.GetHeardMicros()+1) * time.Microsecond),
-			LeaseUntil: now.Add(time.Duration(s.GetLeaseMicros()+1) * time.Microsecond),
-		})
+		next := leaser.Session{
+			Heartbeat: h, EvidenceKnown: v.GetEvidenceKnown(),
+			HeardAt: askedAt.Add(-time.Duration(v.GetHeardAgoMicros()) * time.Microsecond),
+		}
+		if left := v.GetLeaseLeftMicros(); left > 0 {
+			next.LeaseUntil = now.Add(time.Duration(left) * time.Microsecond)
+		}
+		s.Sessions = append(s.Sessions, next)
 	}
-	return r, nil
+	return s, nil
 }
-
-func micros(d time.Duration) uint64 { return uint64(max(d, 0).Microseconds()) }
