--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -19,17 +19,6 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-// peers returns a client for each other control instance.
-func peers(cfg parser.Control, keys *loader.Material) map[registrar.MachineName]*connector.Client {
-	all := map[registrar.MachineName]*connector.Client{}
-	for name, address := range cfg.Members {
-		if name != cfg.Name {
-			all[name] = &connector.Client{Address: address, TLS: keys.Client}
-		}
-	}
-	return all
-}
-
 // faultReporter logs faults of nodes.
 type faultReporter struct {
 	recorder *recorder.Recorder
@@ -48,16 +37,17 @@
 	}
 	updates := &publisher.Publisher{}
 	ledger := planner.NewLedger(updates)
-	others := &connector.Peers{TLS: keys.Client, Recorder: rec}
+	peers := &connector.Peers{TLS: keys.Client, Recorder: rec}
 	log := &driver.Driver{
-		Name: cfg.Name, Folder: cfg.DataFolder, Members: cfg.Members, Machine: ledger, Sender: others, Forwarder: others,
+		Name: cfg.Name, Folder: cfg.DataFolder, Members: cfg.Members, Machine: ledger, Sender: peers, Forwarder: peers,
 		Recorder: rec,
 	}
+	peers.Addresses = log
 	if err := log.Open(); err != nil {
 		return err
 	}
 	sessions := &leaser.Leaser{}
-	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Peers: peers(cfg, keys)}
+	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Directory: log, TLS: keys.Client}
 	announcements := newAnnouncer(log, rec)
 	e, err := newExporter(cfg.Machine, func(time.Time) error {
 		if ctx.Err() != nil {
@@ -73,18 +63,18 @@
 	}
 	g := newGroup(ctx)
 	g.run(log.Run)
-	g.run(others.Run)
+	g.run(peers.Run)
 	g.run((&connector.Server{
-		Address: cfg.ControlAddress, TLS: keys.Server,
+		Address: cfg.ControlAddress, TLS: keys.Server, Consensus: log,
 		Heartbeats: &granter.Granter{
 			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: log,
 			Announcer: announcements, Reporter: faultReporter{rec},
 		},
-		Collector: collector, Consensus: log,
+		Collector: collector,
 	}).Run)
 	g.run((&administrator.Administrator{
 		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Collector: collector, Authority: log,
-		Recorder: rec, Membership: log,
+		Membership: log, Recorder: rec,
 	}).Run)
 	g.run(announcements.run)
 	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: log, Recorder: rec}).run)
--- a/internal/cli/runner/control_test.go
+++ b/internal/cli/runner/control_test.go
@@ -35,8 +35,8 @@
 
 var zoneNumber int
 
-// addNextZone carries out one change and returns the revision that confirmed it.
-func addNextZone(d *deployer.Deployment) registrar.Revision {
+// confirmZone carries out one change and returns the revision that confirmed it.
+func confirmZone(d *deployer.Deployment) registrar.Revision {
 	zoneNumber++
 	name := registrar.ZoneName(fmt.Sprintf("zone-%d", zoneNumber))
 	return d.Carry(planner.Intent{Kind: planner.AddZone, Zone: &registrar.Zone{Name: name, Region: "johor"}}).Revision
@@ -106,11 +106,11 @@
 func TestLeaderKilled(t *testing.T) {
 	d := newControlGroup(t)
 	for range 2 {
-		before := addNextZone(d)
+		before := confirmZone(d)
 		l := leader(t, d)
 		process(d, l).Kill()
 		start := time.Now()
-		r := addNextZone(d)
+		r := confirmZone(d)
 		require.Greater(t, r, before)
 		require.Less(t, time.Since(start), failover)
 		waitInForce(t, d, r, inForce)
@@ -147,7 +147,7 @@
 		_, err := d.API(l, "GET", "/v1/status", nil, &st)
 		return err == nil && st.Revision >= r && lowest(st, d.Entries) >= r
 	}, inForce, 20*time.Millisecond, "the thawed instance does not catch up")
-	next := addNextZone(d)
+	next := confirmZone(d)
 	require.Greater(t, next, r)
 	waitInForce(t, d, next, inForce)
 }
@@ -157,7 +157,7 @@
 	d := newControlGroup(t)
 	var last registrar.Revision
 	for range 300 {
-		last = addNextZone(d)
+		last = confirmZone(d)
 	}
 	before := d.Status()
 	for i := range d.Controls {
@@ -166,7 +166,7 @@
 	for i := range d.Controls {
 		d.StartControl(i)
 	}
-	next := addNextZone(d)
+	next := confirmZone(d)
 	require.Greater(t, next, last)
 	after := d.Status()
 	require.Len(t, after.Zones, len(before.Zones)+1)
@@ -178,7 +178,7 @@
 	d := newControlGroup(t)
 	first := leader(t, d)
 	for _, i := range []int{first, (first + 1) % 3, (first + 2) % 3} {
-		r := addNextZone(d)
+		r := confirmZone(d)
 		lost := identity(t, d, i, 0)
 		process(d, i).Kill()
 		require.NoError(t, os.RemoveAll(filepath.Join(d.Folder, fmt.Sprintf("control-%d", i))))
@@ -186,7 +186,7 @@
 		waitRepaired(t, d, i, identity(t, d, i, lost))
 		require.GreaterOrEqual(t, d.Status().Revision, r)
 	}
-	r := addNextZone(d)
+	r := confirmZone(d)
 	waitInForce(t, d, r, inForce)
 }
 
@@ -352,12 +352,12 @@
 	require.Eventually(t, func() bool {
 		var st administrator.Status
 		_, err := d.API(i, "GET", "/v1/status", nil, &st)
-		return err == nil && entriesEnforce(st, d.Entries, r)
+		return err == nil && enforced(st, d.Entries, r)
 	}, inForce, 20*time.Millisecond, "revision %d is not in force everywhere", r)
 }
 
-// entriesEnforce reports whether the entries' newest known revisions have reached r.
-func entriesEnforce(st administrator.Status, nodes int, r registrar.Revision) bool {
+// enforced reports whether the entries' newest known revisions have reached r.
+func enforced(st administrator.Status, nodes int, r registrar.Revision) bool {
 	n := 0
 	for _, s := range st.Nodes {
 		if s.Role == registrar.RoleEntry && s.Revision >= r {
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -245,8 +245,30 @@
 
 // Admits reports whether a machine is a control instance by the settings or by the log.
 func (d *Driver) Admits(name registrar.MachineName) bool {
-	if _, ok := d.Members[name]; ok {
-		return true
+	_, ok := d.Address(name)
+	return ok
+}
+
+// Address returns where a control instance takes calls. Settings go before the log.
+func (d *Driver) Address(name registrar.MachineName) (netip.AddrPort, bool) {
+	if a, ok := d.Members[name]; ok {
+		return a, true
+	}
+	for _, m := range d.replica.Status() {
+		if m.Name == name {
+			return m.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// Others returns the names of the other control instances in the log.
+func (d *Driver) Others() []registrar.MachineName {
+	var names []registrar.MachineName
+	for _, m := range d.replica.Status() {
+		if m.Name != d.Name && m.ID != 0 && !slices.Contains(names, m.Name) {
+			names = append(names, m.Name)
+		}
 	}
-	return slices.ContainsFunc(d.replica.Status(), func(m replicator.MemberStatus) bool { return m.Name == name })
+	return names
 }
--- a/internal/front/administrator/administrator.go
+++ b/internal/front/administrator/administrator.go
@@ -51,9 +51,9 @@
 	Ledger    *planner.Ledger
 	Collector Collector
 	Authority Authority
-	Recorder  *recorder.Recorder
-	// Membership is the membership of the control log.
+	// Membership is that of the control log.
 	Membership Membership
+	Recorder   *recorder.Recorder
 }
 
 // Run serves requests until ctx ends.
--- a/internal/front/administrator/members.go
+++ b/internal/front/administrator/members.go
@@ -26,23 +26,16 @@
 func (a *Administrator) memberRoutes() []route {
 	return []route{
 		{
-			Method: http.MethodGet, Path: "/v1/members", Summary: "List the members of the control log.",
-			Answer: typeOf[MembersStatus](), serve: func(c *call) { c.ok(a.membersStatus()) },
+			Method: http.MethodGet, Path: "/v1/members", Summary: "Show the members of the control log.",
+			Answer: typeOf[MembersStatus](), serve: func(c *call) { c.ok(MembersStatus{Members: a.Membership.Status()}) },
 		},
 		{
-			Method: http.MethodPost, Path: "/v1/members", Body: typeOf[replicator.Change](), Answer: typeOf[MembersStatus](),
-			Summary: "Add, remove or promote one member of the control log. It takes effect at once.", serve: a.changeMembers,
+			Method: http.MethodPost, Path: "/v1/members", Summary: "Add, promote or remove one member of the control log.",
+			Body: typeOf[replicator.Change](), Answer: typeOf[MembersStatus](), serve: a.changeMembers,
 		},
 	}
 }
 
-func (a *Administrator) membersStatus() MembersStatus {
-	if a.Membership == nil {
-		return MembersStatus{Members: []replicator.MemberStatus{}}
-	}
-	return MembersStatus{Members: append([]replicator.MemberStatus{}, a.Membership.Status()...)}
-}
-
 func (a *Administrator) changeMembers(c *call) {
 	var change replicator.Change
 	if !c.body(&change) {
@@ -53,7 +46,7 @@
 	err := a.Membership.ChangeMembers(ctx, change)
 	switch {
 	case err == nil:
-		c.ok(a.membersStatus())
+		c.ok(MembersStatus{Members: a.Membership.Status()})
 	case eris.Is(err, replicator.ErrMembership):
 		c.fail(http.StatusConflict, &planner.Failure{Code: planner.FailureConflict, Message: err.Error()})
 	default:
--- a/internal/front/connector/peers.go
+++ b/internal/front/connector/peers.go
@@ -29,11 +29,18 @@
 	maxDelivery = 1 << 20
 )
 
+// AddressBook knows the addresses of control instances.
+type AddressBook interface {
+	Address(name registrar.MachineName) (netip.AddrPort, bool)
+}
+
 // Peers sends messages to other control instances. Each has a queue, a connection and a goroutine of its own, so that a
 // silent one does not delay the others. The exported fields are set before Run.
 type Peers struct {
 	TLS      func() *tls.Config
 	Recorder *recorder.Recorder
+	// Addresses knows where control instances take calls.
+	Addresses AddressBook
 
 	mu    sync.Mutex
 	ctx   context.Context
--- a/internal/front/connector/sessions.go
+++ b/internal/front/connector/sessions.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -80,8 +82,35 @@
 	Name      registrar.MachineName
 	StartedAt time.Time
 	Leaser    *leaser.Leaser
-	// Peers are the other control instances.
-	Peers map[registrar.MachineName]*Client
+	Directory Directory
+	TLS       func() *tls.Config
+
+	// mu guards peers, which keeps a connection to each instance that has been asked.
+	mu    sync.Mutex
+	peers map[registrar.MachineName]*Client
+}
+
+// Directory lists the other control instances.
+type Directory interface {
+	Others() []registrar.MachineName
+	Address(name registrar.MachineName) (netip.AddrPort, bool)
+}
+
+// client returns the connection to an instance, or nil if its address is not known.
+func (c *Collector) client(name registrar.MachineName) *Client {
+	address, ok := c.Directory.Address(name)
+	if !ok {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peers == nil {
+		c.peers = map[registrar.MachineName]*Client{}
+	}
+	if old := c.peers[name]; old == nil || old.Address != address {
+		c.peers[name] = &Client{Address: address, TLS: c.TLS}
+	}
+	return c.peers[name]
 }
 
 // Collect asks all instances at the same time and returns their answers sorted by name.
@@ -93,11 +122,13 @@
 	all := []leaser.Instance{{
 		Name: c.Name, Answered: true, StartedAt: c.StartedAt, Sessions: q.apply(c.Leaser.Sessions()),
 	}}
-	for name, peer := range c.Peers {
+	for _, name := range c.Directory.Others() {
 		wg.Go(func() {
 			i := leaser.Instance{Name: name}
-			if s, err := peer.Sessions(ctx, q); err == nil {
-				i.Answered, i.StartedAt, i.Sessions = true, time.Now().Add(-s.Running), s.Sessions
+			if peer := c.client(name); peer != nil {
+				if s, err := peer.Sessions(ctx, q); err == nil {
+					i.Answered, i.StartedAt, i.Sessions = true, time.Now().Add(-s.Running), s.Sessions
+				}
 			}
 			mu.Lock()
 			defer mu.Unlock()
