--- a/internal/cli/runner/control_test.go
+++ b/internal/cli/runner/control_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/fake/deployer"
 	"github.com/peridotstage/peridotstage/internal/front/administrator"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -366,3 +367,42 @@
 	}
 	return n >= nodes
 }
+
+// TestMemberJoins guards against an instance that cannot be added, or that counts as a voter without the log, and against a
+// group that does not go on after a member was taken out.
+func TestMemberJoins(t *testing.T) {
+	d := deployer.New(t, deployer.Options{
+		Controls: 4, Entries: 2, Region: "johor", Zones: []registrar.ZoneName{"johor-a", "johor-b", "johor-c"},
+	})
+	for i := range 3 {
+		s := d.ControlSettings(i)
+		delete(s["members"].(map[string]netip.AddrPort), "control-3")
+		d.Start("control", fmt.Sprintf("control-%d", i), s)
+	}
+	for i := range d.Entries {
+		d.StartEntry(i)
+	}
+	d.Configure("estate")
+	d.StartControl(3)
+	change := func(verb replicator.Verb, name registrar.MachineName) {
+		t.Helper()
+		c := replicator.Change{Verb: verb, Name: name, Address: netip.AddrPortFrom(d.ControlAddr(3), 7000)}
+		require.Eventually(t, func() bool {
+			_, err := d.API(1, "POST", "/v1/members", c, &administrator.MembersStatus{})
+			return err == nil
+		}, deployer.WaitTime, 100*time.Millisecond, "%s %s", verb, name)
+	}
+	_, err := d.API(1, "POST", "/v1/members", replicator.Change{Verb: replicator.PromoteMember, Name: "control-3"},
+		&administrator.MembersStatus{})
+	require.ErrorContains(t, err, "not a member")
+	change(replicator.AddMember, "control-3")
+	change(replicator.PromoteMember, "control-3")
+	change(replicator.RemoveMember, "control-0")
+	process(d, 0).Kill()
+	r := confirmZone(d)
+	waitInForceAt(t, d, 1, r)
+	// Two of the three voters are left, one of them the new one.
+	process(d, 2).Kill()
+	require.Greater(t, confirmZone(d), r)
+	require.Len(t, members(d, 3).Members, 3)
+}
--- a/internal/front/connector/peers.go
+++ b/internal/front/connector/peers.go
@@ -71,8 +71,9 @@
 	}
 	p.mu.Unlock()
 	<-ctx.Done()
-	p.wg.Wait()
+	// No goroutine starts after this, so that all have ended when Run returns.
 	p.closeIdle()
+	p.wg.Wait()
 	return nil
 }
 
@@ -97,7 +98,7 @@
 	if b == nil {
 		b = &outbox{name: name, wake: make(chan struct{}, 1)}
 		p.boxes[name] = b
-		if p.ctx != nil && p.ctx.Err() == nil {
+		if p.ctx != nil && !p.ended {
 			p.start(b)
 		}
 	}
