Measure intents and proofs, and forget machines that have gone

An announcement that contradicts the configuration was written to the log with every heartbeat; it is now checked against the instance's configuration first, and the node hears the refusal at once. Replaced machines stayed in the configuration and in every proof for ever; a machine that no instance has heard for an hour is removed, unless it serves without a lease or hosts an upstream.

Nodes count the bytes that they exchange with control (metric control_bytes).

--- a/internal/cli/runner/announcer.go
+++ b/internal/cli/runner/announcer.go
@@ -35,15 +35,12 @@
 	// queued holds the newest facts of each machine; order is the order in which the machines came.
 	queued map[registrar.MachineName]planner.Facts
 	order  []registrar.MachineName
-	// refusals hold why the last announcement of a machine was refused.
-	refusals map[registrar.MachineName]error
-	wake     chan struct{}
+	wake   chan struct{}
 }
 
 func newAnnouncer(log administrator.Log, rec *recorder.Recorder) *announcer {
 	return &announcer{
-		Log: log, Recorder: rec, queued: map[registrar.MachineName]planner.Facts{},
-		refusals: map[registrar.MachineName]error{}, wake: make(chan struct{}, 1),
+		Log: log, Recorder: rec, queued: map[registrar.MachineName]planner.Facts{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -61,13 +58,6 @@
 	}
 }
 
-// Refusal returns why the last announcement of a machine was refused.
-func (a *announcer) Refusal(machine registrar.MachineName) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.refusals[machine]
-}
-
 // run proposes batches until ctx ends.
 func (a *announcer) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
@@ -112,14 +102,6 @@
 		return
 	}
 	a.Recorder.Info(recorder.AnnouncementsLogged, zap.Int("machines", len(machines)), zap.Uint64("revision", uint64(r.Revision)))
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, m := range machines {
-		delete(a.refusals, m)
-	}
-	for _, refusal := range r.Refusals {
-		a.refusals[refusal.Machine] = eris.New(refusal.Message)
-	}
 }
 
 // proposeFacts writes observed facts to the log as one entry.
--- a/internal/cli/runner/metrics.go
+++ b/internal/cli/runner/metrics.go
@@ -65,11 +65,21 @@
 		emit(n.heartbeats.Load(), attribute.String("result", "ok"))
 		emit(n.missed.Load(), attribute.String("result", "failed"))
 	}
+	controlBytes := func(emit exporter.Emit) {
+		var sent, received uint64
+		for _, c := range n.clients {
+			sent += c.Traffic.Sent()
+			received += c.Traffic.Received()
+		}
+		emit(int64(sent), attribute.String("direction", "sent"))
+		emit(int64(received), attribute.String("direction", "received"))
+	}
 	lease := func(emit exporter.Emit) { emit(max(0, time.Until(n.subscriber.ExpireAt()).Milliseconds())) }
 	return errors.Join(
 		e.Counter("packets_passed", "Packets passed on for customers.", passed),
 		e.Counter("packets_dropped", "Packets dropped, by reason.", dropped),
 		e.Counter("heartbeats", "Heartbeats sent to control, by result.", heartbeats),
+		e.Counter("control_bytes", "Bytes exchanged with control, including TLS.", controlBytes),
 		e.Gauge("lease_remaining_milliseconds", "Time until the lease expires; 0 without a lease.", lease),
 		e.Gauge("revision", "Configuration revision that the machine holds.", revisionOf(n.subscriber.World)),
 	)
@@ -89,7 +99,7 @@
 	nodes := func(emit exporter.Emit) {
 		var leased, lost int64
 		now := time.Now()
-		for _, s := range sessions.Sessions() {
+		for _, s := range sessions.Newest() {
 			if now.Before(s.LeaseUntil) {
 				leased++
 			} else {
--- a/internal/cli/runner/upkeep.go
+++ b/internal/cli/runner/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/peridotstage/peridotstage/internal/control/granter"
@@ -12,7 +13,11 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-const upkeepInterval = 1 * time.Second
+const (
+	upkeepInterval = 1 * time.Second
+	// goneInterval is how often machines that have gone are looked for.
+	goneInterval = 1 * time.Minute
+)
 
 // upkeep marks silent upstreams and trims generations from what all control instances have heard.
 type upkeep struct {
@@ -24,6 +29,8 @@
 
 	// failingSince is when each instance was first out of reach; instances that answer are not in it.
 	failingSince map[registrar.MachineName]time.Time
+	// goneAt is when machines that have gone are looked for next.
+	goneAt time.Time
 }
 
 // run works until ctx ends. Only the instance whose knowledge has no age, which is the leader, does the work.
@@ -37,22 +44,32 @@
 			return nil
 		case <-ticker.C:
 		}
+		now := time.Now()
+		gone := !now.Before(u.goneAt)
+		if gone {
+			u.goneAt = now.Add(goneInterval)
+			u.Collector.Leaser.Expire(now)
+		}
 		if age, ok := u.Authority.Vouch(time.Now()); !ok || age > 0 {
 			clear(u.failingSince)
 			continue
 		}
-		u.step(ctx)
+		u.step(ctx, gone)
 	}
 }
 
-func (u *upkeep) step(ctx context.Context) {
+func (u *upkeep) step(ctx context.Context, gone bool) {
 	// Nodes are judged at the time before the question, so that a pause of this process does not make them look silent.
 	now := time.Now()
 	instances := u.Collector.Collect(ctx, connector.Question{Brief: true})
 	if !u.heardAll(now, instances) {
 		return
 	}
-	f := leaser.Upkeep(now, u.World, leaser.Merge(instances))
+	sessions := leaser.Merge(instances)
+	f := leaser.Upkeep(now, u.World, sessions)
+	if gone && runFor(now, instances, leaser.KeepTime) {
+		f.Gone = leaser.Gone(now, u.World, sessions)
+	}
 	if f.Empty() {
 		return
 	}
@@ -62,6 +79,13 @@
 	}
 }
 
+// runFor reports whether all instances answer and have been running for a time.
+func runFor(now time.Time, instances []leaser.Instance, d time.Duration) bool {
+	return !slices.ContainsFunc(instances, func(i leaser.Instance) bool {
+		return !i.Answered || !now.After(i.StartedAt.Add(d))
+	})
+}
+
 // heardAll reports whether each instance has either been running for long enough to have heard its nodes or been out of reach
 // for so long that its nodes have moved to others.
 func (u *upkeep) heardAll(now time.Time, instances []leaser.Instance) bool {
--- a/internal/control/granter/granter.go
+++ b/internal/control/granter/granter.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
@@ -30,10 +32,11 @@
 type Announcer interface {
 	// Announce queues facts that one machine reported. It does not wait.
 	Announce(machine registrar.MachineName, f planner.Facts)
-	// Refusal returns why the last announcement of a machine was refused; nil if it was not.
-	Refusal(machine registrar.MachineName) error
 }
 
+// ErrRefused means that an announcement contradicts the configuration.
+var ErrRefused = eris.New("announcement refused")
+
 // Reporter is told about faults.
 type Reporter interface {
 	DigestDiffers(machine registrar.MachineName, at registrar.Revision)
@@ -79,12 +82,27 @@
 // Heartbeat records the heartbeat of a node and returns the reply. The error says why the node's announcement was refused;
 // the reply is valid all the same.
 func (g *Granter) Heartbeat(now time.Time, h leaser.Heartbeat) (subscriber.Reply, error) {
-	if f := leaser.Facts(g.World, h); !f.Empty() {
-		g.Announcer.Announce(h.Machine.Name, f)
-	}
+	refusal := g.announce(h)
 	r := g.reply(now, h)
 	r.WantEvidence = g.Leaser.Record(now, h, r.Granted)
-	return r, g.Announcer.Refusal(h.Machine.Name)
+	return r, refusal
+}
+
+// announce queues what a heartbeat says that differs from the configuration. What contradicts it is not written to the log,
+// since a node repeats its announcement with every heartbeat.
+func (g *Granter) announce(h leaser.Heartbeat) error {
+	f := leaser.Facts(g.World, h)
+	if f.Empty() {
+		return nil
+	}
+	changes, refusals := planner.Preview(g.World, f)
+	if changes {
+		g.Announcer.Announce(h.Machine.Name, f)
+	}
+	if len(refusals) > 0 {
+		return eris.Wrap(ErrRefused, refusals[0].Message)
+	}
+	return nil
 }
 
 func (g *Granter) reply(now time.Time, h leaser.Heartbeat) subscriber.Reply {
--- a/internal/control/granter/granter_test.go
+++ b/internal/control/granter/granter_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -19,15 +18,13 @@
 
 // control is a control instance's log, authority and fault log in one.
 type control struct {
-	ok      bool
-	facts   []planner.Facts
-	refusal error
-	faults  int
+	ok     bool
+	facts  []planner.Facts
+	faults int
 }
 
 func (c *control) Vouch(time.Time) (time.Duration, bool)                   { return 0, c.ok }
 func (c *control) Announce(_ registrar.MachineName, f planner.Facts)       { c.facts = append(c.facts, f) }
-func (c *control) Refusal(registrar.MachineName) error                     { return c.refusal }
 func (c *control) DigestDiffers(registrar.MachineName, registrar.Revision) { c.faults++ }
 
 var t0 = time.Unix(1_800_000_000, 0)
@@ -108,25 +105,30 @@
 	require.NotNil(t, n.beat(t, g, t0.Add(repairInterval+time.Second)).State)
 }
 
-// TestAnnounce guards against announcements that are proposed without news, wait for the log, or lose their refusal.
+// TestAnnounce guards against announcements that are proposed without news or although they cannot be accepted, and against a
+// refusal that the node does not hear of.
 func TestAnnounce(t *testing.T) {
 	g, c := newGranter(t, 1)
-	c.ok, c.refusal = false, eris.New("taken")
+	c.ok = false
 	h := leaser.Heartbeat{
 		Machine:      registrar.Machine{Name: "agent-0", Zone: "a"},
 		Announcement: &leaser.Announcement{Upstream: "u", Service: "s", Slots: 1, Weight: 1000},
 	}
 	r, err := g.Heartbeat(t0, h)
-	require.ErrorContains(t, err, "taken")
+	require.ErrorIs(t, err, ErrRefused)
+	require.ErrorContains(t, err, `service "s" does not exist`)
 	require.False(t, r.Granted, "an instance that cannot vouch grants no lease")
-	require.Len(t, c.facts, 1)
-	require.Len(t, c.facts[0].Upstreams, 1)
+	require.Len(t, c.facts, 1, "the machine is news")
 	s, _ := g.Leaser.Session("agent-0")
 	require.True(t, s.LeaseUntil.IsZero())
 	require.NoError(t, g.World.Apply(registrar.Update{Revision: 2, Changes: []registrar.Change{
 		{Kind: registrar.PutMachine, Machine: &h.Machine},
 	}}))
+	_, err = g.Heartbeat(t0, h)
+	require.ErrorIs(t, err, ErrRefused)
+	require.Len(t, c.facts, 1, "an announcement that is refused was proposed")
 	h.Announcement = nil
-	_, _ = g.Heartbeat(t0, h)
+	_, err = g.Heartbeat(t0, h)
+	require.NoError(t, err)
 	require.Len(t, c.facts, 1, "a heartbeat without news was proposed")
 }
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -18,6 +18,10 @@
 
 const shardCount = 16
 
+// KeepTime is how long an earlier start, or a machine that is not heard any more, is remembered. About 620 machines are
+// restarted or replaced a day, so some 26 are remembered in vain.
+const KeepTime = time.Hour
+
 // SilentAfter is how long an agent may be silent before its upstream gets no new flows.
 const SilentAfter = 10 * time.Second
 
@@ -58,12 +62,8 @@
 	EvidenceKnown bool
 }
 
-const (
-	// keepStarts is how many starts of a machine are remembered at least while they are recent.
-	keepStarts = 4
-	// keepTime is how long the session of an earlier start, or of a machine that has gone, is remembered.
-	keepTime = time.Hour
-)
+// keepStarts is how many starts of a machine are remembered at least while they are recent.
+const keepStarts = 4
 
 type shard struct {
 	mu sync.Mutex
@@ -141,7 +141,7 @@
 			return false
 		}
 		extra--
-		return extra >= 0 || now.After(s.HeardAt.Add(keepTime))
+		return extra >= 0 || now.After(s.HeardAt.Add(KeepTime))
 	})
 }
 
@@ -172,6 +172,19 @@
 	return all
 }
 
+// Newest returns the session of the newest start of each machine, sorted by machine name.
+func (l *Leaser) Newest() []Session {
+	var newest []Session
+	for _, s := range l.Sessions() {
+		if n := len(newest); n > 0 && newest[n-1].Machine.Name == s.Machine.Name {
+			newest[n-1] = s
+			continue
+		}
+		newest = append(newest, s)
+	}
+	return newest
+}
+
 // Facts returns what a heartbeat says that differs from the configuration. The configuration may be older than that of the
 // log, which decides in the end.
 func Facts(w *registrar.World, h Heartbeat) planner.Facts {
--- a/internal/control/leaser/leaser_test.go
+++ b/internal/control/leaser/leaser_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -138,3 +139,28 @@
 		})
 	}
 }
+
+// TestGone guards against replaced machines that are remembered for ever, and against one that is forgotten although it may
+// still pass packets or hold an upstream.
+func TestGone(t *testing.T) {
+	w := registrar.NewWorld()
+	var changes []registrar.Change
+	for _, m := range []registrar.Machine{
+		{Name: "gone", Role: registrar.RoleEntry},
+		{Name: "heard", Role: registrar.RoleEntry},
+		{Name: "serves", Role: registrar.RoleEntry, ServesExpired: true},
+	} {
+		changes = append(changes, registrar.Change{Kind: registrar.PutMachine, Machine: &m})
+	}
+	require.NoError(t, w.Apply(registrar.Update{Revision: 1, Changes: changes}))
+	l := &Leaser{}
+	for _, m := range w.Machines() {
+		l.Record(t0, Heartbeat{Machine: m, ServeExpired: m.ServesExpired}, true)
+	}
+	later := t0.Add(KeepTime + time.Second)
+	heard, _ := w.Machine("heard")
+	l.Record(later, Heartbeat{Machine: heard}, true)
+	require.Equal(t, []planner.GoneFact{{Machine: "gone"}}, Gone(later, w, l.Sessions()))
+	l.Expire(later)
+	require.Len(t, l.Sessions(), 2, "the machine that has gone is remembered, or another one is not")
+}
--- a/internal/control/leaser/upkeep.go
+++ b/internal/control/leaser/upkeep.go
@@ -1,12 +1,54 @@
 package leaser
 
 import (
+	"slices"
 	"time"
 
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
+// Gone returns the machines that no instance has heard for an hour. The caller must know the sessions of every instance that may
+// have heard a node within that time.
+func Gone(now time.Time, w *registrar.World, sessions []Session) []planner.GoneFact {
+	heard := map[registrar.MachineName]bool{}
+	for _, s := range sessions {
+		if !now.After(s.HeardAt.Add(KeepTime)) {
+			heard[s.Machine.Name] = true
+		}
+	}
+	hosts := map[registrar.MachineName]bool{}
+	for _, u := range w.Upstreams() {
+		hosts[u.Machine] = true
+	}
+	var gone []planner.GoneFact
+	for _, m := range w.Machines() {
+		if !heard[m.Name] && !hosts[m.Name] && !m.ServesExpired && m.Role != registrar.RoleControl {
+			gone = append(gone, planner.GoneFact{Machine: m.Name, Incarnation: m.Incarnation})
+		}
+	}
+	return gone
+}
+
+// Expire forgets the sessions of machines that have not been heard for an hour, unless they serve without a lease.
+func (l *Leaser) Expire(now time.Time) {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for name, starts := range s.sessions {
+			kept := slices.DeleteFunc(slices.Clone(starts), func(v Session) bool {
+				return !v.ServeExpired && now.After(v.HeardAt.Add(KeepTime)) && now.After(v.LeaseUntil)
+			})
+			if len(kept) == 0 {
+				delete(s.sessions, name)
+			} else {
+				s.sessions[name] = kept
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Upkeep returns what the sessions of all control instances say about upstreams that have gone silent and about generations
 // that no flow needs any more. The caller must know the sessions of every instance that may have heard a node within
 // SilentAfter.
--- a/internal/control/planner/facts.go
+++ b/internal/control/planner/facts.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -13,11 +15,13 @@
 	Upstreams []UpstreamFact   `json:"upstreams,omitempty"`
 	Silent    []SilentFact     `json:"silent,omitempty"`
 	Trims     []registrar.Trim `json:"trims,omitempty"`
+	// Gone are machines that have not been heard for so long that they are taken to be replaced.
+	Gone []GoneFact `json:"gone,omitempty"`
 }
 
 // Empty reports that nothing was observed.
 func (f Facts) Empty() bool {
-	return len(f.Machines)+len(f.Upstreams)+len(f.Silent)+len(f.Trims) == 0
+	return len(f.Machines)+len(f.Upstreams)+len(f.Silent)+len(f.Trims)+len(f.Gone) == 0
 }
 
 // Add appends other facts.
@@ -26,6 +30,7 @@
 	f.Upstreams = append(f.Upstreams, other.Upstreams...)
 	f.Silent = append(f.Silent, other.Silent...)
 	f.Trims = append(f.Trims, other.Trims...)
+	f.Gone = append(f.Gone, other.Gone...)
 }
 
 // MachineFact is a machine as it described itself. It is applied only if the configuration still has the incarnation
@@ -56,6 +61,12 @@
 	Incarnation registrar.Incarnation  `json:"incarnation"`
 }
 
+// GoneFact is a machine that is not heard any more.
+type GoneFact struct {
+	Machine     registrar.MachineName `json:"machine"`
+	Incarnation registrar.Incarnation `json:"incarnation"`
+}
+
 // Refusal says why a machine's announcement was not accepted.
 type Refusal struct {
 	Machine registrar.MachineName `json:"machine"`
@@ -115,6 +126,9 @@
 	for _, v := range f.Silent {
 		m.addSilent(v)
 	}
+	for _, v := range f.Gone {
+		m.addGone(v)
+	}
 	for _, v := range f.Trims {
 		if s, ok := m.world.Service(v.Service); ok && len(s.Generations) > 1 && s.Generations[0].Revision < v.Before {
 			m.changes = append(m.changes, registrar.Change{Kind: registrar.TrimGenerations, Trim: &v})
@@ -122,6 +136,23 @@
 	}
 }
 
+// addGone removes a machine unless it has started again. A machine that serves without a lease stays, because a proof must name
+// it, and so does one whose upstream is still configured.
+func (m *merger) addGone(f GoneFact) {
+	old, had := m.machine(f.Machine)
+	if !had || old.Incarnation != f.Incarnation || old.ServesExpired || m.hasUpstream(f.Machine) {
+		return
+	}
+	delete(m.machines, f.Machine)
+	m.changes = append(m.changes, registrar.Change{Kind: registrar.DeleteMachine, Machine: &registrar.Machine{Name: f.Machine}})
+}
+
+func (m *merger) hasUpstream(name registrar.MachineName) bool {
+	on := func(u registrar.Upstream) bool { return u.Machine == name }
+	return slices.ContainsFunc(m.world.Upstreams(), on) ||
+		slices.ContainsFunc(slices.Collect(maps.Values(m.upstreams)), on)
+}
+
 func (m *merger) addMachine(f MachineFact) {
 	old, had := m.machine(f.Machine.Name)
 	if old == f.Machine || had && old.Incarnation != f.Previous || f.Machine.Name == "" {
@@ -181,13 +212,23 @@
 	m.put(u)
 }
 
-// observe applies facts as one revision. Facts that contradict the configuration are refused and the others applied.
-func (l *Ledger) observe(f Facts) Result {
+func merge(w *registrar.World, f Facts) *merger {
 	m := &merger{
-		world: l.World, machines: map[registrar.MachineName]registrar.Machine{},
-		upstreams: map[registrar.UpstreamName]registrar.Upstream{},
+		world: w, machines: map[registrar.MachineName]registrar.Machine{}, upstreams: map[registrar.UpstreamName]registrar.Upstream{},
 	}
 	m.add(f)
+	return m
+}
+
+// Preview tells whether facts would change a configuration, and which of them would be refused.
+func Preview(w *registrar.World, f Facts) (changes bool, refusals []Refusal) {
+	m := merge(w, f)
+	return len(m.changes) > 0, m.refusals
+}
+
+// observe applies facts as one revision. Facts that contradict the configuration are refused and the others applied.
+func (l *Ledger) observe(f Facts) Result {
+	m := merge(l.World, f)
 	r := Result{Revision: l.World.Revision()}
 	if len(m.changes) > 0 {
 		r = l.commit(m.changes)
--- a/internal/control/planner/ledger_test.go
+++ b/internal/control/planner/ledger_test.go
@@ -299,6 +299,25 @@
 	require.Equal(t, registrar.UpstreamID(1), u.ID)
 }
 
+// TestGoneMachines guards against the removal of a machine that has started again, holds an upstream or serves without a lease.
+func TestGoneMachines(t *testing.T) {
+	l := estate(t)
+	var f Facts
+	for _, m := range []registrar.Machine{{Name: "old"}, {Name: "back", Incarnation: 2}, {Name: "serves", ServesExpired: true}} {
+		f.Machines = append(f.Machines, MachineFact{Machine: m})
+	}
+	do(t, l, Command{Kind: CommandSystem, Facts: &f})
+	gone := &Facts{Gone: []GoneFact{
+		{Machine: "old"}, {Machine: "back", Incarnation: 1}, {Machine: "serves"}, {Machine: "agent-u1", Incarnation: 1},
+	}}
+	do(t, l, Command{Kind: CommandSystem, Facts: gone})
+	var names []registrar.MachineName
+	for _, m := range l.World.Machines() {
+		names = append(names, m.Name)
+	}
+	require.Equal(t, []registrar.MachineName{"agent-u1", "agent-u2", "agent-u3", "back", "serves"}, names)
+}
+
 // TestContentHash guards against a change of the hash between versions, which would turn resends into conflicts.
 func TestContentHash(t *testing.T) {
 	in := Intent{Kind: RetireUpstream, Upstream: &registrar.Upstream{Name: "u1"}}
--- a/internal/fake/measurer/capacity_test.go
+++ b/internal/fake/measurer/capacity_test.go
@@ -144,8 +144,6 @@
 	r.t.Error("a heartbeat without news was proposed")
 }
 
-func (refuseProposals) Refusal(registrar.MachineName) error { return nil }
-
 // measureHeartbeat gives the cost of heartbeats without news at a control instance, by number of sessions, with encoding.
 func measureHeartbeat(t *testing.T, _ uint64) {
 	for _, n := range []int{600, 1200, 2400, 4800, 7800} {
--- /dev/null
+++ b/internal/fake/measurer/intent_test.go
@@ -0,0 +1,281 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
+	"github.com/peridotstage/peridotstage/internal/fake/deployer"
+	"github.com/peridotstage/peridotstage/internal/front/connector"
+	"github.com/peridotstage/peridotstage/internal/route/counter"
+	"github.com/peridotstage/peridotstage/internal/secret/issuer"
+	"github.com/peridotstage/peridotstage/internal/secret/loader"
+	"github.com/peridotstage/peridotstage/internal/setting/parser"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+func init() {
+	register("intent_bytes", measureBytes)
+	register("intent_sessions", measureSessions)
+	register("intent_proof", measureProof)
+}
+
+const (
+	beatInterval = 500 * time.Millisecond
+	beatTime     = 5 * time.Second
+	controlPort  = 7000
+	// tickTime is the unit of processor time in /proc.
+	tickTime = 10 * time.Millisecond
+)
+
+// beater is a node that only sends heartbeats.
+type beater struct {
+	connector.Client
+	subscriber subscriber.Subscriber
+	reporter   subscriber.Reporter
+	machine    registrar.Machine
+	counts     []counter.Evidence
+	random     *rand.Rand
+	beats      int
+	failures   int
+	// digest is the hash of the configuration at revision digestAt.
+	digest   uint64
+	digestAt registrar.Revision
+}
+
+// newBeaters returns nodes with certificates of their own, each with the evidence of a number of customers.
+func newBeaters(t *testing.T, d *deployer.Deployment, n, customers int, seed uint64) []*beater {
+	s := &issuer.Issuer{Folder: filepath.Join(d.Folder, "keys"), ExpireAt: time.Now().Add(time.Hour)}
+	var all []*beater
+	for i := range n {
+		name := fmt.Sprintf("beater-%04d", i)
+		require.NoError(t, s.Issue(time.Now(), loader.HolderMachine, name, nil, []string{name}))
+		keys, err := loader.Load(parser.Keys{
+			Authority: d.KeyFile(issuer.AuthorityFile), Certificate: d.KeyFile(name + ".pem"), PrivateKey: d.KeyFile(name + ".key"),
+		})
+		require.NoError(t, err)
+		b := &beater{
+			Client:  connector.Client{Address: netip.AddrPortFrom(d.ControlAddr(0), controlPort), TLS: keys.Client},
+			machine: registrar.Machine{Name: registrar.MachineName(name), Role: registrar.RoleEntry, Zone: "johor-a", Incarnation: 1},
+			random:  rand.New(rand.NewPCG(seed, uint64(i))),
+		}
+		b.machine.DataAddress = netip.AddrPortFrom(d.CallerAddr(i%200), 7002)
+		b.machine.ControlAddress = netip.AddrPortFrom(d.CallerAddr(i%200), controlPort)
+		b.subscriber.World = registrar.NewWorld()
+		for c := range customers {
+			b.counts = append(b.counts, counter.Evidence{Customer: registrar.CustomerName(fmt.Sprintf("customer-%03d", c))})
+		}
+		t.Cleanup(b.Close)
+		all = append(all, b)
+	}
+	return all
+}
+
+// beat sends one heartbeat, after packets of every customer have passed.
+func (b *beater) beat() {
+	for i := range b.counts {
+		b.counts[i].Passed += uint64(b.random.IntN(10_000))
+		b.counts[i].LastPassedMilli = time.Now().UnixMilli()
+	}
+	w := b.subscriber.World
+	if b.digestAt != w.Revision() {
+		b.digestAt, b.digest = w.RevisionDigest()
+	}
+	b.beats++
+	p := b.reporter.Next(slices.Clone(b.counts))
+	ctx, cancel := context.WithTimeout(context.Background(), beatTime)
+	defer cancel()
+	r, sentAt, err := b.Heartbeat(ctx, leaser.Heartbeat{
+		Machine: b.machine, Revision: w.Revision(), Digest: b.digest, Sequence: p.Sequence, EvidenceBase: p.Base,
+		Evidence: p.Evidence,
+	})
+	if err == nil {
+		err = b.subscriber.Accept(sentAt, r)
+	}
+	if err != nil {
+		b.failures++
+		b.reporter.Restart()
+		return
+	}
+	if b.reporter.Confirm(); r.WantEvidence {
+		b.reporter.Restart()
+	}
+}
+
+// run sends heartbeats from all nodes for a time and returns the bytes of all of them.
+func run(all []*beater, d time.Duration) (total uint64, failures int) {
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	before := bytesOf(all)
+	for i, b := range all {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * beatInterval / time.Duration(len(all)))
+			ticker := time.NewTicker(beatInterval)
+			defer ticker.Stop()
+			for time.Now().Before(end) {
+				b.beat()
+				<-ticker.C
+			}
+		})
+	}
+	wg.Wait()
+	for _, b := range all {
+		failures += b.failures
+	}
+	return bytesOf(all) - before, failures
+}
+
+func bytesOf(all []*beater) uint64 {
+	var n uint64
+	for _, b := range all {
+		n += b.Traffic.Sent() + b.Traffic.Received()
+	}
+	return n
+}
+
+func beatsOf(all []*beater) int {
+	n := 0
+	for _, b := range all {
+		n += b.beats
+	}
+	return n
+}
+
+func controlOnly(t *testing.T) *deployer.Deployment {
+	d := deployer.New(t, deployer.Options{Controls: 1, Region: "johor", Zones: []registrar.ZoneName{"johor-a"}})
+	d.StartControl(0)
+	d.Carry(planner.Intent{Kind: planner.AddZone, Zone: &registrar.Zone{Name: "johor-a", Region: "johor"}})
+	return d
+}
+
+// measureBytes gives the control bytes of a node, on the wire with TLS, by number of customers whose counts change with every
+// heartbeat, and the bytes that one configuration change adds.
+func measureBytes(t *testing.T, seed uint64) {
+	const nodes = 20
+	const span = 15 * time.Second
+	for _, customers := range []int{0, 4, 20, 100} {
+		d := controlOnly(t)
+		all := newBeaters(t, d, nodes, customers, seed)
+		run(all, 2*time.Second)
+		steady, failures := run(all, span)
+		require.Zero(t, failures)
+		perNode := float64(steady) / nodes / span.Seconds()
+		const changes = 50
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for i := range changes {
+				d.Carry(planner.Intent{Kind: planner.AddCustomer, Customer: &registrar.Customer{
+					Name: registrar.CustomerName(fmt.Sprintf("new-%03d", i)),
+				}})
+				time.Sleep(span / changes / 2)
+			}
+		}()
+		changed, failures := run(all, span)
+		<-done
+		require.Zero(t, failures)
+		t.Logf("%3d active customers: %.0f B/s a node; %d changes: %.0f B a change and node", customers, perNode, changes,
+			(float64(changed)-float64(steady))/nodes/changes)
+	}
+}
+
+// processorTime returns the processor time that a process has used.
+func processorTime(t *testing.T, pid int) time.Duration {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	require.NoError(t, err)
+	_, rest, _ := strings.Cut(string(b), ") ")
+	fields := strings.Fields(rest)
+	user, err := strconv.Atoi(fields[11])
+	require.NoError(t, err)
+	system, err := strconv.Atoi(fields[12])
+	require.NoError(t, err)
+	return time.Duration(user+system) * tickTime
+}
+
+// measureSessions gives the processor time that heartbeats cost a control process, by number of sessions, with TLS and with 4
+// active customers at each node. It also gives the number of log entries for the announcements of all nodes.
+func measureSessions(t *testing.T, seed uint64) {
+	const span = 10 * time.Second
+	for _, n := range []int{100, 200, 400, 600, 800} {
+		d := controlOnly(t)
+		all := newBeaters(t, d, n, 4, seed)
+		before := d.Status().Revision
+		run(all, 3*time.Second)
+		entries := d.Status().Revision - before
+		pid := d.Process("control-0").PID()
+		used := processorTime(t, pid)
+		beats := beatsOf(all)
+		bytes, failures := run(all, span)
+		beats = beatsOf(all) - beats
+		used = processorTime(t, pid) - used
+		t.Logf("%4d sessions: %.1f%% of a core, %.0f us a heartbeat, %d heartbeats a second, %.0f B/s a node, "+
+			"%d failures; announced in %d log entries", n, 100*used.Seconds()/span.Seconds(),
+			float64(used.Microseconds())/float64(beats), beats/int(span.Seconds()), float64(bytes)/float64(n)/span.Seconds(), failures, entries)
+	}
+}
+
+// measureProof gives the time from the answer to a confirmed cut to the first proof that the traffic has stopped, with datagrams
+// of the customer coming in all the time.
+func measureProof(t *testing.T, _ uint64) {
+	zones := []registrar.ZoneName{"johor-a", "johor-b", "johor-c"}
+	d := deployer.New(t, deployer.Options{
+		Controls: 1, Entries: 4, Region: "johor", Zones: zones,
+		Services: []deployer.Service{{
+			Name: "telemetry", Transport: registrar.TransportUDP, Slots: 2, Zones: append(slices.Clone(zones), zones...),
+		}},
+	})
+	d.StartAll()
+	d.Configure("cust")
+	done := make(chan struct{})
+	defer close(done)
+	for i := range d.Entries {
+		from := net.UDPAddrFromAddrPort(netip.AddrPortFrom(d.CallerAddr(0), 0))
+		conn, err := net.DialUDP("udp", from, net.UDPAddrFromAddrPort(d.EntryServiceAddr(i, 0)))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		go func() {
+			ticker := time.NewTicker(time.Millisecond)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-done:
+					return
+				case <-ticker.C:
+					_, _ = conn.Write([]byte("datagram"))
+				}
+			}
+		}()
+	}
+	const rounds = 20
+	var times []time.Duration
+	for range rounds {
+		d.Carry(planner.Intent{Kind: planner.CutCustomer, Customer: &registrar.Customer{Name: "cust"}})
+		start := time.Now()
+		require.Eventually(t, func() bool {
+			var p leaser.Proof
+			_, err := d.API(0, "GET", "/v1/customers/cust/proof", nil, &p)
+			return err == nil && p.Verdict == leaser.Stopped
+		}, deployer.WaitTime, 10*time.Millisecond)
+		times = append(times, time.Since(start))
+		d.Carry(planner.Intent{Kind: planner.RestoreCustomer, Customer: &registrar.Customer{Name: "cust"}})
+		time.Sleep(2 * time.Second)
+	}
+	slices.Sort(times)
+	t.Logf("%d cuts, 10 nodes: proof after %s at least, %s in the median, %s at most", rounds, times[0].Round(time.Millisecond),
+		times[rounds/2].Round(time.Millisecond), times[rounds-1].Round(time.Millisecond))
+}
--- a/internal/front/connector/client.go
+++ b/internal/front/connector/client.go
@@ -24,6 +24,8 @@
 	Address netip.AddrPort
 	// TLS returns the configuration for a new connection.
 	TLS func() *tls.Config
+	// Traffic counts the bytes of all connections of the client.
+	Traffic Traffic
 
 	// mu is held during a call, because a drpc connection carries one call at a time.
 	mu   sync.Mutex
@@ -39,8 +41,7 @@
 			return c.conn, nil
 		}
 	}
-	d := tls.Dialer{Config: c.TLS()}
-	raw, err := d.DialContext(ctx, "tcp", c.Address.String())
+	raw, err := c.dial(ctx)
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", c.Address)
 	}
--- /dev/null
+++ b/internal/front/connector/traffic.go
@@ -0,0 +1,55 @@
+package connector
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts the bytes of calls on the wire, with the overhead of TLS and without that of TCP.
+type Traffic struct {
+	sent, received atomic.Uint64
+}
+
+// Sent returns the bytes sent.
+func (t *Traffic) Sent() uint64 { return t.sent.Load() }
+
+// Received returns the bytes received.
+func (t *Traffic) Received() uint64 { return t.received.Load() }
+
+// countedConn is a connection that counts its bytes.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.sent.Add(uint64(n))
+	return n, err
+}
+
+// dial opens a connection whose bytes are counted in c.Traffic.
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.Address.String())
+	if err != nil {
+		return nil, err
+	}
+	cfg := c.TLS().Clone()
+	if cfg.ServerName == "" {
+		cfg.ServerName = c.Address.Addr().String()
+	}
+	conn := tls.Client(&countedConn{Conn: raw, traffic: &c.Traffic}, cfg)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return conn, nil
+}
