--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -6,11 +6,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/peridotstage/peridotstage/internal/control/driver"
 	"github.com/peridotstage/peridotstage/internal/control/granter"
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
-	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/front/administrator"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
@@ -19,22 +19,6 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-// soleAuthority vouches always, because a single instance knows every confirmed revision.
-type soleAuthority struct{}
-
-func (soleAuthority) Vouch(time.Time) (time.Duration, bool) { return 0, true }
-
-// peers returns a client for each other control instance.
-func peers(cfg parser.Control, keys *loader.Material) map[registrar.MachineName]*connector.Client {
-	all := map[registrar.MachineName]*connector.Client{}
-	for name, address := range cfg.Members {
-		if name != cfg.Name {
-			all[name] = &connector.Client{Address: address, TLS: keys.Client}
-		}
-	}
-	return all
-}
-
 // faultReporter logs faults of nodes.
 type faultReporter struct {
 	recorder *recorder.Recorder
@@ -53,10 +37,17 @@
 	}
 	updates := &publisher.Publisher{}
 	ledger := planner.NewLedger(updates)
-	log := &replicator.Local{Machine: ledger}
+	peers := &connector.Peers{TLS: keys.Client, Recorder: rec}
+	log := &driver.Driver{
+		Name: cfg.Name, Folder: cfg.DataFolder, Members: cfg.Members, Machine: ledger, Sender: peers, Forwarder: peers,
+		Recorder: rec,
+	}
+	peers.Addresses = log
+	if err := log.Open(); err != nil {
+		return err
+	}
 	sessions := &leaser.Leaser{}
-	authority := soleAuthority{}
-	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Peers: peers(cfg, keys)}
+	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Directory: log, TLS: keys.Client}
 	announcements := newAnnouncer(log, rec)
 	e, err := newExporter(cfg.Machine, func(time.Time) error {
 		if ctx.Err() != nil {
@@ -71,20 +62,22 @@
 		return err
 	}
 	g := newGroup(ctx)
+	g.run(log.Run)
+	g.run(peers.Run)
 	g.run((&connector.Server{
-		Address: cfg.ControlAddress, TLS: keys.Server,
+		Address: cfg.ControlAddress, TLS: keys.Server, Consensus: log,
 		Heartbeats: &granter.Granter{
-			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: authority,
+			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: log,
 			Announcer: announcements, Reporter: faultReporter{rec},
 		},
 		Collector: collector,
 	}).Run)
 	g.run((&administrator.Administrator{
-		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Collector: collector, Authority: authority,
-		Recorder: rec,
+		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Collector: collector, Authority: log,
+		Membership: log, Recorder: rec,
 	}).Run)
 	g.run(announcements.run)
-	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: authority, Recorder: rec}).run)
+	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: log, Recorder: rec}).run)
 	g.run(reloadOnHangup(rec, keys))
 	g.run(e.Run)
 	rec.Info(recorder.MachineStarted)
--- a/internal/cli/runner/intent_test.go
+++ b/internal/cli/runner/intent_test.go
@@ -103,8 +103,8 @@
 	require.Equal(t, 1+racers/2, seen[5000], "conflicts are not entered")
 }
 
-// enforced returns the revisions that a machine logged as in force, in order.
-func enforced(t *testing.T, log string) []registrar.Revision {
+// enforcedRevisions returns the revisions that a machine logged as in force, in order.
+func enforcedRevisions(t *testing.T, log string) []registrar.Revision {
 	var all []registrar.Revision
 	for _, line := range strings.Split(log, "\n") {
 		var e struct {
@@ -152,7 +152,7 @@
 	stop()
 	stop = func() {}
 	for _, name := range []string{"entry-0", "entry-1", "entry-2", "agent-telemetry-0", "agent-telemetry-1"} {
-		require.IsIncreasing(t, enforced(t, e.Log(name)), name)
+		require.IsIncreasing(t, enforcedRevisions(t, e.Log(name)), name)
 	}
 	z := e.Status().Zones[1]
 	require.True(t, z.Withdrawn)
--- a/internal/front/administrator/administrator_test.go
+++ b/internal/front/administrator/administrator_test.go
@@ -25,6 +25,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
+	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
@@ -64,10 +65,17 @@
 	ledger := planner.NewLedger(&publisher.Publisher{})
 	log := &directLog{ledger: ledger}
 	return &Administrator{
-		Log: log, Ledger: ledger, Collector: alone{}, Authority: alone{}, Recorder: recorder.Discard(),
+		Log: log, Ledger: ledger, Collector: alone{}, Authority: alone{}, Membership: alone{},
+		Recorder: recorder.Discard(),
 	}, log
 }
 
+// Status implements Membership.
+func (alone) Status() []replicator.MemberStatus { return nil }
+
+// ChangeMembers implements Membership.
+func (alone) ChangeMembers(context.Context, replicator.Change) error { return replicator.ErrMembership }
+
 // ask sends a request with a certificate of a kind of holder.
 func ask(h http.Handler, kind loader.Holder, method, path, body string) (int, string) {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
--- a/internal/front/administrator/routes.go
+++ b/internal/front/administrator/routes.go
@@ -64,7 +64,7 @@
 			Method: http.MethodGet, Path: "/v1/openapi.json", Summary: "Return this document.", Answer: typeOf[map[string]any](),
 			serve: func(c *call) { c.ok(a.Document()) },
 		},
-	}, a.lists()...)
+	}, append(a.memberRoutes(), a.lists()...)...)
 }
 
 // lists returns the operations that list the objects of the configuration.
