Test proofs and requests with three control instances

The process tests of intents and proofs run three instances of the replicated log. New cases: an instance that is out of reach while an entry is missing, an instance without a majority, a restart of all instances right after a cut, and resends to other instances, also after all of them were killed.

TestProofFrozenEntry failed once in its first run with three instances: the entry had passed 21 datagrams instead of 20. Freeze returned when the signal was sent, and a thread can run on until another one has taken it; the first datagram "to the frozen entry" then passes before the cut. Freeze now waits until all threads have stopped. Ruled out by reading: entries read the clock for each datagram.

--- a/internal/cli/runner/intent_test.go
+++ b/internal/cli/runner/intent_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -29,14 +30,29 @@
 	result planner.Result
 }
 
-// together sends n requests at the same time and returns their answers.
-func together(e *estate, n int, request func(i int) (path string, body any)) []answer {
-	answers := make([]answer, n)
+// request sends a request until an instance carries it out or refuses it, beginning with instance i. A resend has the same
+// number, so it is safe.
+func request(e *estate, i int, path string, body any) (a answer) {
+	e.t.Helper()
+	for deadline := time.Now().Add(deployer.WaitTime); time.Now().Before(deadline); i++ {
+		a = answer{}
+		a.status, _ = e.API(i%e.Controls, http.MethodPost, path, body, &a.result)
+		if a.status != 0 && a.status != http.StatusServiceUnavailable {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return a
+}
+
+// together sends n requests to all instances at the same time and returns their answers.
+func together(e *estate, n int, content func(i int) (path string, body any)) []answer {
+	answers := slices.Repeat([]answer{{}}, n)
 	var wg sync.WaitGroup
 	for i := range n {
 		wg.Go(func() {
-			path, body := request(i)
-			answers[i].status, _ = e.API(0, http.MethodPost, path, body, &answers[i].result)
+			path, body := content(i)
+			answers[i] = request(e, i, path, body)
 		})
 	}
 	wg.Wait()
@@ -81,25 +97,42 @@
 	}
 	require.Equal(t, before+1, e.Status().Revision, "a plan was applied twice")
 
-	// The answer is lost, and the operator resends.
-	for range 3 {
-		var r planner.Result
-		_, err := e.API(0, http.MethodPost, "/v1/plans", administrator.PlanRequest{Number: 7000, Intent: addZone("east")}, &r)
-		require.NoError(t, err)
-		require.Zero(t, r.Plan.Confirmed)
-		_, err = e.API(0, http.MethodPost, fmt.Sprintf("/v1/plans/%d/confirm", r.Plan.ID), administrator.ConfirmRequest{Number: 7001}, &r)
-		require.NoError(t, err)
-		require.Equal(t, before+2, r.Revision)
+	// Answers are lost, and the operator resends to other instances, also after all of them have been killed and started again.
+	var plan, confirmed answer
+	for round := range 4 {
+		a := request(e, round, "/v1/plans", administrator.PlanRequest{Number: 7000, Intent: addZone("east")})
+		require.Equal(t, http.StatusOK, a.status)
+		c := request(e, round+1, fmt.Sprintf("/v1/plans/%d/confirm", a.result.Plan.ID), administrator.ConfirmRequest{Number: 7001})
+		require.Equal(t, http.StatusOK, c.status)
+		if round == 0 {
+			plan, confirmed = a, c
+		}
+		require.Equal(t, plan, a, "a resend gets another answer")
+		require.Equal(t, confirmed, c, "a resend gets another answer")
+		if round == 2 {
+			for i := range e.Controls {
+				process(e.Deployment, i).Kill()
+			}
+			for i := range e.Controls {
+				e.StartControl(i)
+			}
+		}
+	}
+	require.Equal(t, before+2, confirmed.result.Revision)
+	conflict := request(e, 0, "/v1/plans", administrator.PlanRequest{Number: 7000, Intent: addZone("west")})
+	require.Equal(t, http.StatusConflict, conflict.status, "a number is accepted for another request after a restart")
+	zones := map[registrar.ZoneName]int{}
+	for _, z := range e.Status().Zones {
+		zones[z.Name]++
 	}
-	require.Equal(t, before+2, e.Status().Revision)
+	require.Equal(t, map[registrar.ZoneName]int{"johor-a": 1, "johor-b": 1, winner.Intent.Zone.Name: 1, "east": 1}, zones)
 	var page administrator.Page[planner.AuditEntry]
-	_, err := e.API(0, http.MethodGet, "/v1/audit?limit=1000", nil, &page)
-	require.NoError(t, err)
+	e.ask("/v1/audit?limit=1000", &page)
 	seen := map[planner.RequestNumber]int{}
 	for _, a := range page.Items {
 		seen[a.Number]++
 	}
-	require.Equal(t, 1, seen[7000], "a resend is entered as a new action")
+	require.Equal(t, 2, seen[7000], "a resend is entered as a new action, or the conflict is not")
 	require.Equal(t, 1+racers/2, seen[5000], "conflicts are not entered")
 }
 
--- a/internal/cli/runner/proof_test.go
+++ b/internal/cli/runner/proof_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/control/tracer"
 	"github.com/peridotstage/peridotstage/internal/fake/deployer"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -38,7 +39,7 @@
 	t.Helper()
 	zones := []registrar.ZoneName{"johor-a", "johor-b"}
 	e := &estate{t: t, Deployment: deployer.New(t, deployer.Options{
-		Controls: 1, Entries: entries, Region: "johor", Zones: zones,
+		Controls: 3, Entries: entries, Region: "johor", Zones: zones,
 		Services: []deployer.Service{{Name: "telemetry", Transport: registrar.TransportUDP, Slots: 2, Zones: zones}},
 	})}
 	for i := range zones {
@@ -47,7 +48,9 @@
 		t.Cleanup(func() { _ = conn.Close() })
 		go e.count(conn)
 	}
-	e.StartControl(0)
+	for i := range e.Controls {
+		e.StartControl(i)
+	}
 	for i := range entries {
 		s := e.EntrySettings(i)
 		if change != nil {
@@ -109,10 +112,22 @@
 	}
 }
 
+// ask reads a path from the first control instance that answers.
+func (e *estate) ask(path string, out any) {
+	e.t.Helper()
+	require.Eventually(e.t, func() bool {
+		for i := range e.Controls {
+			if _, err := e.API(i, "GET", path, nil, out); err == nil {
+				return true
+			}
+		}
+		return false
+	}, deployer.WaitTime, 50*time.Millisecond, "no control instance answers")
+}
+
 func (e *estate) proof() leaser.Proof {
 	var p leaser.Proof
-	_, err := e.API(0, "GET", "/v1/customers/cust/proof", nil, &p)
-	require.NoError(e.t, err)
+	e.ask("/v1/customers/cust/proof", &p)
 	return p
 }
 
@@ -164,8 +179,8 @@
 	defer func() { stop() }()
 	require.Eventually(t, func() bool {
 		var v tracer.Trace
-		_, err := e.API(0, "GET", "/v1/customers/cust/trace", nil, &v)
-		return err == nil && v.LiveFlows > 0 && v.PassedByEntries > 0 && v.PassedByAgents > 0 && len(v.Entries) == 2 &&
+		e.ask("/v1/customers/cust/trace", &v)
+		return v.LiveFlows > 0 && v.PassedByEntries > 0 && v.PassedByAgents > 0 && len(v.Entries) == 2 &&
 			v.Zones[0].Buckets+v.Zones[1].Buckets == 4096
 	}, deployer.WaitTime, 100*time.Millisecond, "the trace does not show the traffic")
 	require.Equal(t, leaser.NotProved, e.proof().Verdict, "nothing was cut")
@@ -283,3 +298,69 @@
 		return e.got.Load() > 0
 	}, deployer.WaitTime, 50*time.Millisecond, "traffic does not pass after the customer was restored")
 }
+
+// TestProofInstanceOutOfReach guards against a proof that counts a missing node as fenced while a control instance that cannot be
+// asked may have granted it a lease, and against one that never comes although all live nodes have moved to other instances.
+func TestProofInstanceOutOfReach(t *testing.T) {
+	e := startEstate(t, 2, nil)
+	silent := process(e.Deployment, (leader(t, e.Deployment)+1)%e.Controls)
+	silent.Freeze()
+	e.cut()
+	p := e.untilStopped(nil)
+	require.Equal(t, 4, p.Totals.Confirmed, "nodes do not move away from an instance that is out of reach")
+	e.Process("entry-1").Kill()
+	time.Sleep(2 * reportTime)
+	for deadline := time.Now().Add(4 * time.Second); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		p = e.proof()
+		require.NotEqual(t, leaser.NodeFenced, nodes(p, "entry-1")[0].State)
+	}
+	require.Equal(t, leaser.NotProved, p.Verdict)
+	require.Contains(t, fmt.Sprint(p.Reasons), silent.Name+", which cannot be asked")
+	silent.Thaw()
+	require.Equal(t, leaser.NodeFenced, nodes(e.untilStopped(nil), "entry-1")[0].State)
+	require.Equal(t, leaser.Stopped, e.staysStopped().Verdict)
+}
+
+// TestProofWithoutMajority guards against a proof by an instance that no longer knows what is confirmed.
+func TestProofWithoutMajority(t *testing.T) {
+	e := startEstate(t, 2, nil)
+	e.cut()
+	e.untilStopped(nil)
+	alone := leader(t, e.Deployment)
+	for i := range e.Controls {
+		if i != alone {
+			process(e.Deployment, i).Freeze()
+		}
+	}
+	// All leases end, so that every node looks fenced.
+	time.Sleep(5 * time.Second)
+	var p leaser.Proof
+	_, err := e.API(alone, "GET", "/v1/customers/cust/proof", nil, &p)
+	require.NoError(t, err)
+	require.Equal(t, leaser.NotProved, p.Verdict)
+	require.Contains(t, fmt.Sprint(p.Reasons), "does not know the newest configuration")
+	for i := range e.Controls {
+		process(e.Deployment, i).Thaw()
+	}
+	require.Equal(t, 4, e.untilStopped(nil).Totals.Confirmed)
+}
+
+// TestProofAfterRestart guards against a proof by instances that have lost their sessions while leases from before may be valid.
+func TestProofAfterRestart(t *testing.T) {
+	e := startEstate(t, 2, nil)
+	e.send(1, 20)
+	e.Process("entry-1").Freeze()
+	e.cut()
+	for i := range e.Controls {
+		process(e.Deployment, i).Kill()
+	}
+	restarted := time.Now()
+	for i := range e.Controls {
+		e.StartControl(i)
+	}
+	p := e.untilStopped(nil)
+	require.Greater(t, p.AtMilli, restarted.Add(subscriber.LeaseTime).UnixMilli())
+	require.Equal(t, leaser.NodeFenced, nodes(p, "entry-1")[0].State)
+	e.Process("entry-1").Thaw()
+	require.Equal(t, leaser.Stopped, e.staysStopped().Verdict)
+}
--- a/internal/fake/deployer/deployer.go
+++ b/internal/fake/deployer/deployer.go
@@ -376,8 +376,27 @@
 	<-p.done
 }
 
-// Freeze stops the process from running until Thaw.
-func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+// Freeze stops the process from running until Thaw. It returns once all threads have stopped, since the signal takes effect
+// only some time after it was sent.
+func (p *Process) Freeze() {
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	for deadline := time.Now().Add(stopTime); !p.frozen() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// frozen reports whether no thread of the process can run.
+func (p *Process) frozen() bool {
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+	for _, path := range tasks {
+		b, err := os.ReadFile(path)
+		// The state is the field after the name, which is in parentheses.
+		if _, state, ok := strings.Cut(string(b), ") "); err == nil && ok && state[0] != 'T' {
+			return false
+		}
+	}
+	return true
+}
 
 // Thaw lets a frozen process run again.
 func (p *Process) Thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
