--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -27,6 +27,8 @@
 	ExitUnknown = 5
 	// ExitNotProved means that a proof does not show that the traffic has stopped.
 	ExitNotProved = 6
+	// ExitBurning means that an alert condition of the burn report holds.
+	ExitBurning = 7
 )
 
 const examples = `
@@ -52,6 +54,7 @@
   4  conflict: the plan is stale, or the request number is used or expired
   5  no control instance answered; resend with the same --number
   6  the proof does not show that the traffic has stopped
+  7  a service burns its error budget too fast
 `
 
 // usageTemplate adds the examples of a command, or else of the whole program, to the usual help.
@@ -108,8 +111,8 @@
 func (a *app) addCommands() {
 	a.api = newAPIFlags(a)
 	for _, add := range []func(*app){
-		addZone, addService, addUpstream, addCustomer, addContract, addPlan, addConfirm, addStatus, addTrace, addProof, addAudit, addMember,
-		addRoles, addCheckSettings, addKeys, addVersion,
+		addZone, addService, addUpstream, addCustomer, addContract, addPlan, addConfirm, addStatus, addTrace, addProof, addAudit,
+		addMember, addReport, addRoles, addCheckSettings, addKeys, addVersion,
 	} {
 		add(a)
 	}
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -12,6 +12,7 @@
 
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -50,6 +51,8 @@
 	// EvidenceBase is the heartbeat that Evidence adds to; 0 if Evidence is complete.
 	EvidenceBase uint64
 	ServeExpired bool
+	// Burn holds new request counts; nil most of the time.
+	Burn *burner.Batch
 }
 
 // Session is what a control instance knows about one start of a node.
--- a/internal/front/administrator/routes.go
+++ b/internal/front/administrator/routes.go
@@ -3,10 +3,12 @@
 import (
 	"net/http"
 	"reflect"
+	"time"
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/tracer"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
@@ -60,6 +62,11 @@
 			Method: http.MethodGet, Path: "/v1/customers/{name}/proof", Answer: typeOf[leaser.Proof](), serve: a.proof,
 			Summary: "Show whether a customer's traffic has stopped, with the evidence of every node.",
 		},
+		{
+			Method: http.MethodGet, Path: "/v1/burn", Answer: typeOf[burner.Report](),
+			Summary: "Show the requests that agents reported to this instance, for the report on service-level burn.",
+			serve:   func(c *call) { c.ok(a.Burn(time.Now())) },
+		},
 		{
 			Method: http.MethodGet, Path: "/v1/openapi.json", Summary: "Return this document.", Answer: typeOf[map[string]any](),
 			serve: func(c *call) { c.ok(a.Document()) },
