--- a/internal/front/administrator/administrator.go
+++ b/internal/front/administrator/administrator.go
@@ -52,7 +52,9 @@
 	Ledger    *planner.Ledger
 	Collector Collector
 	Authority Authority
-	Recorder  *recorder.Recorder
+	// Membership is that of the control log.
+	Membership Membership
+	Recorder   *recorder.Recorder
 	// Burn returns the instance's report on service-level burn.
 	Burn func(now time.Time) burner.Report
 }
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -32,6 +32,8 @@
 	Heartbeats HeartbeatHandler
 	// Collector holds the sessions that other control instances ask for; nil on machines that keep none.
 	Collector *Collector
+	// Consensus takes messages of other control instances; nil on machines that are none.
+	Consensus ConsensusHandler
 }
 
 // HeartbeatHandler answers heartbeats.
@@ -47,6 +49,11 @@
 			return eris.Wrap(err, "register control service")
 		}
 	}
+	if s.Consensus != nil {
+		if err := messenger.DRPCRegisterConsensus(mux, &consensusService{s.Consensus}); err != nil {
+			return eris.Wrap(err, "register consensus service")
+		}
+	}
 	cfg := &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 		next := s.TLS()
 		next.VerifyConnection = verifyMachine
