Run three control instances in the quickstart and restart them one by one

With the replicated log the quickstart runs three control instances, the rolling restart covers them, and the operating pages have one on control disks, whose commands the test runs as well.

TestControlReadiness fails if readiness ignores the leader, TestStopFinishesRequests if the agent does not wait for its requests.

--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-controls=${CONTROLS:-1}
+controls=${CONTROLS:-3}
 entries=${ENTRIES:-3}
 net=${NET:-127.77}
 bin=$PWD/bin
@@ -78,7 +78,7 @@
 }
 
 operator() {
-	"$bin/peridotstage" --api "$net.0.1:7001" --authority "$keys/authority.pem" \
+	"$bin/peridotstage" --api "$(api_list)" --authority "$keys/authority.pem" \
 		--certificate "$keys/operator.pem" --key "$keys/operator.key" "$@"
 }
 
@@ -111,6 +111,8 @@
 	END
 }
 
+api_list() { for i in $(seq "$controls"); do printf '%s.0.%s:7001,' "$net" "$i"; done; }
+
 control_list() {
 	for i in $(seq "$controls"); do printf '"%s.0.%s:7000", ' "$net" "$i"; done
 }
@@ -167,7 +169,7 @@
 # all_ready succeeds when every entry and agent serves.
 all_ready() {
 	local ip
-	for ip in $(seq -f "$net.0.%g" 21 $((20 + entries))) $(seq -f "$net.0.%g" 60 $((59 + ${#upstreams[@]}))); do
+	for ip in $(seq -f "$net.0.%g" "$controls") $(seq -f "$net.0.%g" 21 $((20 + entries))) $(seq -f "$net.0.%g" 60 $((59 + ${#upstreams[@]}))); do
 		curl --silent --fail --max-time 1 "http://$ip:7003/ready" || return 1
 	done
 }
--- a/internal/cli/commander/operating_test.go
+++ b/internal/cli/commander/operating_test.go
@@ -23,6 +23,8 @@
 // guide runs the commands of operating pages.
 type guide struct {
 	deployment *deployer.Deployment
+	// target is the machine whose process the page stops.
+	target string
 	// plan is the id of the newest plan.
 	plan string
 }
@@ -30,10 +32,12 @@
 func newGuide(t *testing.T) *guide {
 	zones := []registrar.ZoneName{"johor-a", "johor-b"}
 	d := deployer.New(t, deployer.Options{
-		Controls: 1, Entries: 1, Region: "johor", Zones: zones,
+		Controls: 3, Entries: 1, Region: "johor", Zones: zones,
 		Services: []deployer.Service{{Name: "order-desk", Transport: registrar.TransportQUIC, Slots: 2, Zones: zones}},
 	})
-	d.StartControl(0)
+	for i := range d.Controls {
+		d.StartControl(i)
+	}
 	entry := d.EntrySettings(0)
 	entry["address_map"].(map[netip.Addr]netip.Addr)[netip.MustParseAddr("203.0.113.11")] = d.AgentAddr(1, 0)
 	d.Start("entry", "entry-0", entry)
@@ -41,7 +45,7 @@
 	d.StartAgent(0, 1)
 	d.Configure("estate")
 	t.Chdir(d.Folder)
-	t.Setenv("PERIDOTSTAGE_API", d.APIAddr(0).String())
+	t.Setenv("PERIDOTSTAGE_API", d.APIAddr(0).String()+","+d.APIAddr(1).String()+","+d.APIAddr(2).String())
 	t.Setenv("PERIDOTSTAGE_AUTHORITY", d.KeyFile(issuer.AuthorityFile))
 	t.Setenv("PERIDOTSTAGE_CERTIFICATE", d.KeyFile("operator.pem"))
 	t.Setenv("PERIDOTSTAGE_KEY", d.KeyFile("operator.key"))
@@ -52,6 +56,10 @@
 func (g *guide) run(t *testing.T, command string) {
 	words := strings.Fields(command)
 	switch {
+	case command == "peridotstage control --settings "+g.target+".json":
+		g.deployment.StartControl(2)
+	case command == "peridotstage member list":
+		require.Eventually(t, func() bool { return g.voters(t) == g.deployment.Controls }, deployer.WaitTime, deployer.PollTime)
 	case words[0] == "peridotstage":
 		var out, errOut bytes.Buffer
 		code := commander.Main(strings.Fields(strings.ReplaceAll(command, "PLAN", g.plan))[1:], &out, &errOut)
@@ -68,12 +76,21 @@
 			g.deployment.Process(name).Hangup()
 		}
 	case command == "kill -TERM PID":
-		require.NoError(t, g.deployment.Process("agent-order-desk-1").Stop())
+		require.NoError(t, g.deployment.Process(g.target).Stop())
+	case command == "rm -r "+g.target:
+		require.NoError(t, os.RemoveAll(filepath.Join(g.deployment.Folder, g.target)))
 	default:
 		require.Fail(t, "the test cannot run this command", command)
 	}
 }
 
+// voters returns the number of members that vote.
+func (g *guide) voters(t *testing.T) int {
+	var out, errOut bytes.Buffer
+	require.Equal(t, commander.ExitOK, commander.Main([]string{"member", "list"}, &out, &errOut), errOut.String())
+	return len(regexp.MustCompile(`(?m)^control-\d +\S+ +yes `).FindAllString(out.String(), -1))
+}
+
 // remember keeps the id of a plan.
 func (g *guide) remember(out string) {
 	if m := regexp.MustCompile(`peridotstage confirm (\d+)`).FindStringSubmatch(out); m != nil {
@@ -98,6 +115,13 @@
 	for name, text := range texts {
 		t.Run(name, func(t *testing.T) {
 			g := newGuide(t)
+			g.target = map[string]string{
+				"replace-a-control-disk.md":         "control-2",
+				"upgrade-one-instance-at-a-time.md": "entry-0",
+			}[name]
+			if g.target == "" {
+				g.target = "agent-order-desk-1"
+			}
 			require.NoError(t, os.Symlink(examples, filepath.Join(g.deployment.Folder, "examples")))
 			for _, m := range block.FindAllStringSubmatch(text, -1) {
 				for command := range strings.Lines(m[1]) {
--- a/internal/cli/runner/restart_test.go
+++ b/internal/cli/runner/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/peridotstage/peridotstage/internal/fake/backend"
 	"github.com/peridotstage/peridotstage/internal/fake/deployer"
 	"github.com/peridotstage/peridotstage/internal/fake/sprayer"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -79,7 +81,7 @@
 // TestRollingRestart guards against a planned restart that breaks flows of entries, or cuts requests of agents.
 func TestRollingRestart(t *testing.T) {
 	d := deployer.New(t, deployer.Options{
-		Controls: 1, Entries: 3, Region: "johor", Zones: []registrar.ZoneName{"johor-a", "johor-b"},
+		Controls: 3, Entries: 3, Region: "johor", Zones: []registrar.ZoneName{"johor-a", "johor-b"},
 		Services: []deployer.Service{{
 			Name: "order-desk", Transport: registrar.TransportQUIC, Slots: 4,
 			Zones: []registrar.ZoneName{"johor-a", "johor-b", "johor-a", "johor-b"},
@@ -99,6 +101,17 @@
 	require.Empty(t, failed)
 	require.Zero(t, redials, "flows broken by planned restarts of entries")
 
+	load = startCallers(d, 40)
+	for i := range d.Controls {
+		require.NoError(t, d.Process(fmt.Sprintf("control-%d", i)).Stop())
+		d.StartControl(i)
+		require.Eventually(t, func() bool { return d.Ready(d.ControlAddr(i)) }, deployer.WaitTime, deployer.PollTime)
+	}
+	requests, failed, redials = load.stop()
+	t.Logf("control: %d requests, %d failed, %d connections broken", requests, len(failed), redials)
+	require.Empty(t, failed)
+	require.Zero(t, redials, "flows broken by planned restarts of control instances")
+
 	load = startCallers(d, 40)
 	for i := range d.Services[0].Zones {
 		name := "agent-" + string(d.UpstreamName(0, i))
@@ -139,3 +152,44 @@
 	control.Thaw()
 	require.Eventually(t, func() bool { return d.Ready(entry) && d.Ready(agent) }, deployer.WaitTime, deployer.PollTime)
 }
+
+// TestControlReadiness guards against a control instance that says it is ready while it knows no leader.
+func TestControlReadiness(t *testing.T) {
+	d := deployer.New(t, deployer.Options{Controls: 3, Region: "johor", Zones: []registrar.ZoneName{"johor-a"}})
+	a := d.ControlAddr(0)
+	d.StartControl(0)
+	require.Eventually(t, func() bool { return len(d.Metrics(a)) > 0 }, deployer.WaitTime, deployer.PollTime)
+	require.False(t, d.Ready(a), "ready without a majority")
+	others := []*deployer.Process{d.StartControl(1), d.StartControl(2)}
+	require.Eventually(t, func() bool { return d.Ready(a) }, deployer.WaitTime, deployer.PollTime)
+	for _, p := range others {
+		p.Freeze()
+	}
+	require.Eventually(t, func() bool { return !d.Ready(a) }, deployer.WaitTime, deployer.PollTime)
+}
+
+// TestStopFinishesRequests guards against a planned stop that cuts a request in progress (promise 9).
+func TestStopFinishesRequests(t *testing.T) {
+	d := small(t)
+	const serviceTime = 2 * time.Second
+	backends := d.Backends(0, func(_ int, b *backend.Backend) { b.ServiceTime = serviceTime })
+	d.Fabric(0, 1)
+	d.StartAll()
+	d.Configure("estate")
+	var wg sync.WaitGroup
+	errs := make(chan error, 2)
+	for i := range 2 {
+		wg.Go(func() {
+			_, err := d.Caller(0, i).Get("/stock", deployer.WaitTime)
+			errs <- err
+		})
+	}
+	require.Eventually(t, func() bool { return backends[0].InFlight()+backends[1].InFlight() == 2 }, deployer.WaitTime, deployer.PollTime)
+	for i := range backends {
+		require.NoError(t, d.Process("agent-"+string(d.UpstreamName(0, i))).Stop())
+	}
+	wg.Wait()
+	for range 2 {
+		require.NoError(t, <-errs)
+	}
+}
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -87,6 +87,9 @@
 // Served returns the number of requests answered.
 func (b *Backend) Served() int64 { return b.served.Load() }
 
+// InFlight returns the number of requests in progress.
+func (b *Backend) InFlight() int64 { return b.inFlight.Load() }
+
 // Runs returns how often the job of each key ran.
 func (b *Backend) Runs() map[string]int {
 	b.mu.Lock()
