Count tries that reach no agent in the burn report

With no upstream left, no agent counted anything and the report showed a service as idle during an outage. Entries now count the first packet of each QUIC connection that they can hand to no upstream as a failed request and send batches as agents do; batches name the service. Dropped packets in general were ruled out as a measure, since those of a cut customer or without contract are no failure of the service. TestBurnReport stops all upstreams of a service and fails without this.

A node counts as missing after 10 s instead of 20 s without a batch. The examples have objectives.

--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -57,15 +57,15 @@
 		Tracker: t, Counter: counts, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey, DataAddress: cfg.DataAddress,
 		Certificate: &tls.Config{GetCertificate: pair.Get, MinVersion: tls.VersionTLS13},
 		Handler: &meteredHandler{
-			next: &responder.Passer{Upstream: cfg.UpstreamAddress, Transport: &http.Transport{}}, meter: meter, customers: t,
+			next: &responder.Passer{Upstream: cfg.UpstreamAddress, Transport: &http.Transport{}}, meter: meter, service: cfg.Service,
+			customers: t,
 		},
 		Upstream: cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
 	}
 	var stopped atomic.Bool
 	n.subscriber.Enforcers = []subscriber.Enforcer{t, r, counts}
-	n.confirmBurn = meter.Confirm
+	n.meter(meter)
 	n.describe = func(h *leaser.Heartbeat) {
-		h.Burn = meter.Batch(time.Now())
 		h.Announcement = &leaser.Announcement{
 			Upstream: cfg.Upstream, Service: cfg.Service, Slots: cfg.Slots,
 			Weight:     registrar.Weight(cfg.Slots) * registrar.WeightPerSlot,
--- a/internal/cli/runner/burn.go
+++ b/internal/cli/runner/burn.go
@@ -24,10 +24,17 @@
 	Allowed(addr netip.Addr) (registrar.CustomerName, bool)
 }
 
+// meter lets a node send the batches of a meter.
+func (n *node) meter(m *burner.Meter) {
+	n.confirmBurn = m.Confirm
+	n.batch = m.Batch
+}
+
 // meteredHandler counts the requests that the next handler serves.
 type meteredHandler struct {
 	next      http.Handler
 	meter     *burner.Meter
+	service   registrar.ServiceName
 	customers customers
 }
 
@@ -41,7 +48,7 @@
 		}
 		if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 			name, _ := h.customers.Allowed(a.Addr().Unmap())
-			h.meter.Record(name, time.Since(began), rec.failed())
+			h.meter.Record(h.service, name, time.Since(began), rec.failed())
 		}
 	}()
 	h.next.ServeHTTP(rec, r)
@@ -82,7 +89,7 @@
 // Unwrap serves http.ResponseController.
 func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// sendFinalBatch waits until control has all counts of an agent that stops. It gives up after some heartbeats, because the
+// sendFinalBatch waits until control has all counts of a node that stops. It gives up after some heartbeats, because the
 // report then says that data is missing.
 func sendFinalBatch(g *group, n *node, m *burner.Meter) {
 	m.Finish()
@@ -100,8 +107,8 @@
 
 // Heartbeat records the batch and passes the heartbeat on.
 func (c *burnCollector) Heartbeat(now time.Time, h leaser.Heartbeat) (subscriber.Reply, error) {
-	if h.Burn != nil && h.Announcement != nil {
-		c.collector.Record(now, h.Machine, h.Announcement.Service, h.Burn)
+	if h.Burn != nil {
+		c.collector.Record(now, h.Machine, h.Burn)
 	}
 	return c.next.Heartbeat(now, h)
 }
@@ -119,13 +126,18 @@
 // burnReport returns the report of this instance about the services and upstreams of the configuration.
 func burnReport(c *burner.Collector, w *registrar.World) func(now time.Time) burner.Report {
 	return func(now time.Time) burner.Report {
-		expected := map[registrar.ServiceName][]registrar.MachineName{}
+		expected := burner.Expected{Agents: map[registrar.ServiceName][]registrar.MachineName{}}
 		for _, s := range w.Services() {
-			expected[s.Name] = nil
+			expected.Agents[s.Name] = nil
+		}
+		for _, m := range w.Machines() {
+			if m.Role == registrar.RoleEntry {
+				expected.Entries = append(expected.Entries, m.Name)
+			}
 		}
 		for _, u := range w.Upstreams() {
 			// A silent upstream may serve all the same while its agent cannot reach control, so its data is missed as well.
-			expected[u.Service] = append(expected[u.Service], u.Machine)
+			expected.Agents[u.Service] = append(expected.Agents[u.Service], u.Machine)
 		}
 		return c.Report(now, expected)
 	}
@@ -133,7 +145,7 @@
 
 // exportBurn adds the metrics of findings, so that an alert can be raised where the other metrics are collected.
 func exportBurn(e *exporter.Exporter, report func(now time.Time) burner.Report) error {
-	return e.Gauge("burn_alert", "1 while the agents that report to this instance burn the error budget too fast.", func(emit exporter.Emit) {
+	return e.Gauge("burn_alert", "1 while the nodes that report to this instance burn the error budget too fast.", func(emit exporter.Emit) {
 		r := report(time.Now())
 		for _, f := range r.Judge() {
 			var value int64
--- a/internal/cli/runner/burn_test.go
+++ b/internal/cli/runner/burn_test.go
@@ -46,7 +46,7 @@
 	return all
 }
 
-// TestBurnReport guards against slow or failed answers that raise no alert, an alert without a cause, and a green line while
+// TestBurnReport guards against slow or failed answers, or an outage, that raise no alert, an alert without a cause, and a green line while
 // an agent sends no data.
 func TestBurnReport(t *testing.T) {
 	zones := []registrar.ZoneName{"johor-a", "johor-a"}
@@ -105,6 +105,17 @@
 	require.Eventually(t, func() bool { return verdicts(t, d)["order-desk"] == burner.Unknown }, 2*deployer.WaitTime, 500*time.Millisecond)
 	_, out, _ = operate(d, "report", "burn")
 	require.Contains(t, out, "missing for order-desk, fast burn: no data of agent-order-desk-0 since")
+
+	// Without upstreams no agent can count the tries of callers, so the entry has to.
+	d.Process("agent-order-desk-0").Thaw()
+	for i := range zones {
+		require.NoError(t, d.Process("agent-"+string(d.UpstreamName(0, i))).Stop())
+	}
+	require.Eventually(t, func() bool {
+		_, err := d.Caller(0, 0).Get("/stock", 500*time.Millisecond)
+		require.Error(t, err)
+		return verdicts(t, d)["order-desk"] == burner.Burning
+	}, 2*deployer.WaitTime, deployer.PollTime)
 }
 
 // checkMarkup fails if the text is not well-formed.
--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -8,6 +8,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/listener"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/route/forwarder"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
@@ -26,14 +27,17 @@
 		return err
 	}
 	counts := n.counts
+	meter := &burner.Meter{StartedAt: time.Now()}
 	f := &forwarder.Forwarder{
 		Stamper: keys.Stamper, Lease: n.subscriber, Counter: counts, Entry: cfg.DataAddress,
+		Outages: meter,
 	}
 	l := &listener.Listener{
 		Decider: f, Counter: counts, Keys: keys.Data, DataAddress: cfg.DataAddress, AddressMap: cfg.AddressMap,
 		Recorder: rec, Newer: n.newer,
 	}
 	n.subscriber.Enforcers = []subscriber.Enforcer{f, l, counts}
+	n.meter(meter)
 	n.describe = func(*leaser.Heartbeat) {}
 	e, err := newExporter(cfg.Machine, func(now time.Time) error {
 		return errors.Join(n.ready(now, f.Revision()), l.Problem())
@@ -62,6 +66,7 @@
 	n.stopping.Store(true)
 	rec.Info(recorder.StopBegun)
 	g.pause(time.Duration(cfg.Linger))
+	sendFinalBatch(g, n, meter)
 	g.cancel(nil)
 	return g.wait()
 }
--- a/internal/cli/runner/node.go
+++ b/internal/cli/runner/node.go
@@ -16,6 +16,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
@@ -41,6 +42,8 @@
 	clients    []*connector.Client
 	// describe completes a heartbeat.
 	describe func(h *leaser.Heartbeat)
+	// batch returns new request counts for a heartbeat, or nil.
+	batch func(now time.Time) *burner.Batch
 	// confirmBurn is called with the number of a batch that control has taken.
 	confirmBurn func(number uint64)
 	// wake asks for a heartbeat at once.
@@ -155,6 +158,7 @@
 	report := n.reporter.Next(n.counts.Evidence())
 	h.Sequence, h.EvidenceBase, h.Evidence, h.Digest = report.Sequence, report.Base, report.Evidence, n.digest
 	n.describe(&h)
+	h.Burn = n.batch(time.Now())
 	r, sentAt, err := c.Heartbeat(ctx, h)
 	if eris.Is(err, connector.ErrRefused) {
 		n.recorder.Warn(recorder.AnnounceRefused, recorder.Err(err))
--- a/internal/report/burner/burner_test.go
+++ b/internal/report/burner/burner_test.go
@@ -25,7 +25,7 @@
 			if b == nil || rapid.Bool().Draw(t, "heartbeat lost") {
 				return
 			}
-			c.Record(now, agent, "s", b)
+			c.Record(now, agent, b)
 			if rapid.Bool().Draw(t, "reply arrives") {
 				m.Confirm(b.Number)
 			}
@@ -33,7 +33,7 @@
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			d := time.Duration(rapid.SampledFrom([]int64{1, 9_900, 10_000, 10_200, 90_000_000}).Draw(t, "latency")) * time.Microsecond
 			failed := rapid.Bool().Draw(t, "failed")
-			m.Record(registrar.CustomerName(rapid.StringMatching(`[a-z]{1,2}`).Draw(t, "customer")), d, failed)
+			m.Record("s", registrar.CustomerName(rapid.StringMatching(`[a-z]{1,2}`).Draw(t, "customer")), d, failed)
 			want.Requests++
 			switch {
 			case failed:
@@ -48,7 +48,7 @@
 		for !m.Finished() {
 			send()
 		}
-		r := c.Report(now, map[registrar.ServiceName][]registrar.MachineName{"s": {"a"}})
+		r := c.Report(now, Expected{Agents: map[registrar.ServiceName][]registrar.MachineName{"s": {"a"}}})
 		require.Equal(t, want, r.Lines[0].Windows[0].Long)
 		var perCustomer RequestCounts
 		for _, l := range r.Lines[1:] {
@@ -85,18 +85,18 @@
 			col := &Collector{Objectives: []Objective{{Service: "s", Answered: 0.99, Fast: 0.99, FastWithin: time.Second}}}
 			var number uint64
 			for minute := c.since; minute >= c.last; minute-- {
-				counts := CustomerCounts{Customer: "estate"}
+				counts := CustomerCounts{Service: "s", Customer: "estate"}
 				counts.Answered[0] = 100
 				if minute <= c.badFrom && minute >= c.badUntil && c.badFrom > 0 {
 					counts.Failed = 100
 				}
 				number++
-				col.Record(start.Add(-time.Duration(minute)*time.Minute), registrar.Machine{Name: "a"}, "s", &Batch{
+				col.Record(start.Add(-time.Duration(minute)*time.Minute), registrar.Machine{Name: "a"}, &Batch{
 					Number: number, StartedAt: start.Add(-24 * time.Hour), Customers: []CustomerCounts{counts},
 					Final: c.stopped && minute == c.last,
 				})
 			}
-			r := col.Report(start, map[registrar.ServiceName][]registrar.MachineName{"s": {"a"}, "other": nil})
+			r := col.Report(start, Expected{Agents: map[registrar.ServiceName][]registrar.MachineName{"s": {"a"}, "other": nil}})
 			require.Equal(t, []registrar.ServiceName{"other"}, r.WithoutObjective)
 			for _, f := range r.Judge() {
 				want := map[Speed]Verdict{FastBurn: c.fast, SlowBurn: c.slow}[f.Speed]
@@ -109,12 +109,12 @@
 // TestMerge guards against data that is missing at one instance but counts as present, and against counts that are lost when
 // an agent moves to another instance.
 func TestMerge(t *testing.T) {
-	expected := map[registrar.ServiceName][]registrar.MachineName{"s": {"a", "b"}}
+	expected := Expected{Agents: map[registrar.ServiceName][]registrar.MachineName{"s": {"a"}}, Entries: []registrar.MachineName{"b"}}
 	var reports []Report
 	for i, agent := range []registrar.MachineName{"a", "b"} {
 		c := &Collector{Objectives: []Objective{{Service: "s", Answered: 0.99, Fast: 0.99, FastWithin: time.Second}}}
-		b := &Batch{Number: 1, StartedAt: start, Customers: []CustomerCounts{{Customer: "estate", Failed: uint64(i + 1)}}}
-		c.Record(start, registrar.Machine{Name: agent}, "s", b)
+		b := &Batch{Number: 1, StartedAt: start, Customers: []CustomerCounts{{Service: "s", Customer: "estate", Failed: uint64(i + 1)}}}
+		c.Record(start, registrar.Machine{Name: agent}, b)
 		r := c.Report(start, expected)
 		require.NotEmpty(t, r.missing("s", time.Hour))
 		reports = append(reports, r)
--- a/internal/report/burner/collector.go
+++ b/internal/report/burner/collector.go
@@ -53,13 +53,8 @@
 	return c
 }
 
-type lineKey struct {
-	service  registrar.ServiceName
-	customer registrar.CustomerName
-}
-
-// agent is what a control instance knows about the batches of one agent.
-type agent struct {
+// node is what a control instance knows about the batches of one agent or entry.
+type node struct {
 	incarnation        registrar.Incarnation
 	number             uint64
 	startedAt          time.Time
@@ -68,10 +63,14 @@
 	stopped bool
 }
 
-type collectorShard struct {
-	mu     sync.Mutex
-	lines  map[lineKey]*series
-	agents map[registrar.MachineName]*agent
+type lineShard struct {
+	mu    sync.Mutex
+	lines map[lineKey]*series
+}
+
+type nodeShard struct {
+	mu    sync.Mutex
+	nodes map[registrar.MachineName]*node
 }
 
 // Collector adds up batches at one control instance. The exported fields are set before first use.
@@ -79,12 +78,17 @@
 	Instance   registrar.MachineName
 	Objectives []Objective
 
-	// shards are selected by service name.
-	shards [shardCount]collectorShard
+	// lines are selected by service name, nodes by machine name.
+	lines [shardCount]lineShard
+	nodes [shardCount]nodeShard
 }
 
-func (c *Collector) shard(name registrar.ServiceName) *collectorShard {
-	return &c.shards[xxhash.Sum64String(string(name))%shardCount]
+func (c *Collector) lineShard(name registrar.ServiceName) *lineShard {
+	return &c.lines[xxhash.Sum64String(string(name))%shardCount]
+}
+
+func (c *Collector) nodeShard(name registrar.MachineName) *nodeShard {
+	return &c.nodes[xxhash.Sum64String(string(name))%shardCount]
 }
 
 // objective returns the objective of a service and customer.
@@ -100,76 +104,109 @@
 	return found, ok
 }
 
-// Record adds a batch of an agent. A batch that was recorded before is ignored.
-func (c *Collector) Record(now time.Time, m registrar.Machine, service registrar.ServiceName, b *Batch) {
-	s := c.shard(service)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.agents == nil {
-		s.agents, s.lines = map[registrar.MachineName]*agent{}, map[lineKey]*series{}
-	}
-	a := s.agents[m.Name]
-	if a == nil {
-		a = &agent{since: now}
-		s.agents[m.Name] = a
-	}
-	if a.incarnation == m.Incarnation && b.Number <= a.number {
+// Record adds a batch of a node. A batch that was recorded before is ignored.
+func (c *Collector) Record(now time.Time, m registrar.Machine, b *Batch) {
+	if !c.nodeShard(m.Name).accept(now, m, b) {
 		return
 	}
-	a.incarnation, a.number, a.startedAt, a.lastBatchAt = m.Incarnation, b.Number, b.StartedAt, now
-	a.stopped = b.Final
 	for _, counts := range b.Customers {
-		for _, k := range []lineKey{{service, counts.Customer}, {service, ""}} {
+		s := c.lineShard(counts.Service)
+		s.mu.Lock()
+		for _, k := range []lineKey{{counts.Service, counts.Customer}, {counts.Service, ""}} {
 			if o, ok := c.objective(k); ok {
 				s.line(k).add(slotOf(now), o.reduce(counts))
 			}
 		}
+		s.mu.Unlock()
 	}
 }
 
-func (s *collectorShard) line(k lineKey) *series {
+// accept notes a batch. It returns false if the batch was recorded before.
+func (s *nodeShard) accept(now time.Time, m registrar.Machine, b *Batch) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.nodes == nil {
+		s.nodes = map[registrar.MachineName]*node{}
+	}
+	n := s.nodes[m.Name]
+	if n == nil {
+		n = &node{since: now}
+		s.nodes[m.Name] = n
+	}
+	if n.incarnation == m.Incarnation && b.Number <= n.number {
+		return false
+	}
+	n.incarnation, n.number, n.startedAt, n.lastBatchAt, n.stopped = m.Incarnation, b.Number, b.StartedAt, now, b.Final
+	return true
+}
+
+func (s *lineShard) line(k lineKey) *series {
+	if s.lines == nil {
+		s.lines = map[lineKey]*series{}
+	}
 	if s.lines[k] == nil {
 		s.lines[k] = &series{}
 	}
 	return s.lines[k]
 }
 
-// Report returns what this instance has collected. expected are the agents that should send batches, by service.
-func (c *Collector) Report(now time.Time, expected map[registrar.ServiceName][]registrar.MachineName) Report {
+// Expected are the services and the nodes that should send batches.
+type Expected struct {
+	// Agents are the agents of each service.
+	Agents map[registrar.ServiceName][]registrar.MachineName
+	// Entries count for all services.
+	Entries []registrar.MachineName
+}
+
+// Report returns what this instance has collected.
+func (c *Collector) Report(now time.Time, e Expected) Report {
 	r := Report{At: now, Instances: []registrar.MachineName{c.Instance}}
-	for service, machines := range expected {
+	for _, name := range e.Entries {
+		r.Nodes = append(r.Nodes, c.nodeData(name, ""))
+	}
+	for service, machines := range e.Agents {
 		if _, ok := c.objective(lineKey{service, ""}); !ok {
 			r.WithoutObjective = append(r.WithoutObjective, service)
 			continue
 		}
-		c.reportService(now, service, machines, &r)
+		for _, name := range machines {
+			r.Nodes = append(r.Nodes, c.nodeData(name, service))
+		}
+		r.Lines = append(r.Lines, c.linesOf(now, service)...)
 	}
 	slices.Sort(r.WithoutObjective)
 	r.sort()
 	return r
 }
 
-func (c *Collector) reportService(now time.Time, service registrar.ServiceName, machines []registrar.MachineName, r *Report) {
-	s := c.shard(service)
+func (c *Collector) nodeData(name registrar.MachineName, service registrar.ServiceName) NodeData {
+	s := c.nodeShard(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, name := range machines {
-		data := AgentData{Machine: name, Service: service}
-		if a := s.agents[name]; a != nil {
-			data.StartedAt, data.Since, data.LastBatchAt, data.Stopped = a.startedAt, a.since, a.lastBatchAt, a.stopped
-		}
-		r.Agents = append(r.Agents, data)
+	d := NodeData{Machine: name, Service: service}
+	if n := s.nodes[name]; n != nil {
+		d.StartedAt, d.Since, d.LastBatchAt, d.Stopped = n.startedAt, n.since, n.lastBatchAt, n.stopped
 	}
+	return d
+}
+
+// linesOf returns the line of a service and one for each customer that has called it.
+func (c *Collector) linesOf(now time.Time, service registrar.ServiceName) []Line {
+	s := c.lineShard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	keys := []lineKey{{service, ""}}
 	for k := range s.lines {
 		if k.service == service && k.customer != "" {
 			keys = append(keys, k)
 		}
 	}
+	var all []Line
 	for _, k := range keys {
 		o, _ := c.objective(k)
-		r.Lines = append(r.Lines, newLine(now, o, s.lines[k]))
+		all = append(all, newLine(now, o, s.lines[k]))
 	}
+	return all
 }
 
 // newLine sums a series up over all windows.
@@ -196,5 +233,5 @@
 	slices.SortFunc(r.Lines, func(a, b Line) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Customer, b.Customer))
 	})
-	slices.SortFunc(r.Agents, func(a, b AgentData) int { return cmp.Compare(a.Machine, b.Machine) })
+	slices.SortFunc(r.Nodes, func(a, b NodeData) int { return cmp.Compare(a.Machine, b.Machine) })
 }
--- a/internal/report/burner/meter.go
+++ b/internal/report/burner/meter.go
@@ -40,8 +40,9 @@
 	BatchInterval = 5 * time.Second
 )
 
-// CustomerCounts are the requests of one customer.
+// CustomerCounts are the requests of one customer of a service.
 type CustomerCounts struct {
+	Service  registrar.ServiceName
 	Customer registrar.CustomerName
 	// Failed counts requests without a whole answer of the service.
 	Failed uint64
@@ -49,13 +50,19 @@
 	Answered [BucketCount]uint64
 }
 
-// Batch is what an agent has counted since the batch before. Number grows by one with each new batch of a process; a batch
+// lineKey names a service and a customer of it.
+type lineKey struct {
+	service  registrar.ServiceName
+	customer registrar.CustomerName
+}
+
+// Batch is what a node has counted since the batch before. Number grows by one with each new batch of a process; a batch
 // that is sent again keeps its number.
 type Batch struct {
 	Number    uint64
 	StartedAt time.Time
 	Customers []CustomerCounts
-	// Final says that the agent stops as planned and that no further batch will follow.
+	// Final says that the node stops as planned and that no further batch will follow.
 	Final bool
 }
 
@@ -66,11 +73,11 @@
 }
 
 type meterShard struct {
-	mu        sync.Mutex
-	customers map[registrar.CustomerName]*record
+	mu      sync.Mutex
+	records map[lineKey]*record
 }
 
-// Meter counts the requests of one agent. The exported fields are set before first use.
+// Meter counts the requests at one agent, or the tries that an entry could hand to no agent. The exported fields are set before first use.
 type Meter struct {
 	StartedAt time.Time
 
@@ -87,17 +94,18 @@
 }
 
 // Record counts a request that took d. failed is true if the caller got no whole answer of the service.
-func (m *Meter) Record(customer registrar.CustomerName, d time.Duration, failed bool) {
+func (m *Meter) Record(service registrar.ServiceName, customer registrar.CustomerName, d time.Duration, failed bool) {
 	s := &m.shards[xxhash.Sum64String(string(customer))%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.customers[customer]
+	k := lineKey{service, customer}
+	r := s.records[k]
 	if r == nil {
-		if s.customers == nil {
-			s.customers = map[registrar.CustomerName]*record{}
+		if s.records == nil {
+			s.records = map[lineKey]*record{}
 		}
 		r = &record{answered: hdrhistogram.New(1, maxLatency, digits)}
-		s.customers[customer] = r
+		s.records[k] = r
 	}
 	if failed {
 		r.failed++
@@ -109,6 +117,11 @@
 	_ = r.answered.RecordValue(min(max(d.Microseconds(), 1), maxLatency))
 }
 
+// Unserved counts a try of a caller that reached no agent.
+func (m *Meter) Unserved(service registrar.ServiceName, customer registrar.CustomerName) {
+	m.Record(service, customer, 0, true)
+}
+
 // Totals returns the number of requests since the start.
 func (m *Meter) Totals() (answered, failed int64) { return m.answered.Load(), m.failed.Load() }
 
@@ -159,26 +172,28 @@
 	for i := range m.shards {
 		s := &m.shards[i]
 		s.mu.Lock()
-		for name, r := range s.customers {
+		for k, r := range s.records {
 			if len(all) == BatchLimit {
 				break
 			}
 			if r.failed == 0 && r.answered.TotalCount() == 0 {
-				delete(s.customers, name)
+				delete(s.records, k)
 				continue
 			}
-			all = append(all, r.counts(name))
+			all = append(all, r.counts(k))
 			r.failed = 0
 			r.answered.Reset()
 		}
 		s.mu.Unlock()
 	}
-	slices.SortFunc(all, func(a, b CustomerCounts) int { return cmp.Compare(a.Customer, b.Customer) })
+	slices.SortFunc(all, func(a, b CustomerCounts) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Customer, b.Customer))
+	})
 	return all
 }
 
-func (r *record) counts(name registrar.CustomerName) CustomerCounts {
-	c := CustomerCounts{Customer: name, Failed: r.failed}
+func (r *record) counts(k lineKey) CustomerCounts {
+	c := CustomerCounts{Service: k.service, Customer: k.customer, Failed: r.failed}
 	for _, bar := range r.answered.Distribution() {
 		if bar.Count == 0 {
 			continue
--- a/internal/report/burner/report.go
+++ b/internal/report/burner/report.go
@@ -13,8 +13,9 @@
 	plotTime   = 5 * time.Minute
 	plotSlots  = slot(plotTime / slotTime)
 	plotPoints = int(history / plotTime)
-	// missingAfter is how long an agent may send no batch. It allows for one lost batch and a failover.
-	missingAfter = 4 * BatchInterval
+	// missingAfter is how long a node may send no batch. A batch is sent with each heartbeat until it is confirmed, so one
+	// interval more than the usual one allows for a failover of control.
+	missingAfter = 2 * BatchInterval
 )
 
 // Verdict is the conclusion about one speed of one line.
@@ -52,14 +53,15 @@
 	History [plotPoints]RequestCounts `json:"history"`
 }
 
-// AgentData says since when and until when batches of an agent have arrived.
-type AgentData struct {
-	Machine     registrar.MachineName `json:"machine"`
-	Service     registrar.ServiceName `json:"service"`
+// NodeData says since when and until when batches of a node have arrived.
+type NodeData struct {
+	Machine registrar.MachineName `json:"machine"`
+	// Service is that of an agent; it is empty for an entry, whose data counts for all services.
+	Service     registrar.ServiceName `json:"service,omitempty"`
 	StartedAt   time.Time             `json:"started_at"`
 	Since       time.Time             `json:"since"`
 	LastBatchAt time.Time             `json:"last_batch_at"`
-	// Stopped says that the agent has sent all its counts and stopped as planned.
+	// Stopped says that the node has sent all its counts and stopped as planned.
 	Stopped bool `json:"stopped"`
 }
 
@@ -68,7 +70,7 @@
 	At        time.Time               `json:"at"`
 	Instances []registrar.MachineName `json:"instances"`
 	Lines     []Line                  `json:"lines"`
-	Agents    []AgentData             `json:"agents"`
+	Nodes     []NodeData              `json:"nodes"`
 	// WithoutObjective lists services that are not judged.
 	WithoutObjective []registrar.ServiceName `json:"services_without_objective,omitempty"`
 }
@@ -84,8 +86,8 @@
 		for _, l := range r.Lines {
 			all.mergeLine(l)
 		}
-		for _, a := range r.Agents {
-			all.mergeAgent(a)
+		for _, a := range r.Nodes {
+			all.mergeNode(a)
 		}
 		all.WithoutObjective = append(all.WithoutObjective, r.WithoutObjective...)
 	}
@@ -111,18 +113,18 @@
 	}
 }
 
-// mergeAgent joins the times in which instances heard an agent. An agent moves to the next instance within seconds, so a
+// mergeNode joins the times in which instances heard a node. A node moves to the next instance within seconds, so a
 // gap between two instances needs no record of its own.
-func (r *Report) mergeAgent(a AgentData) {
-	at := slices.IndexFunc(r.Agents, func(o AgentData) bool { return o.Machine == a.Machine })
+func (r *Report) mergeNode(a NodeData) {
+	at := slices.IndexFunc(r.Nodes, func(o NodeData) bool { return o.Machine == a.Machine })
 	switch {
 	case at < 0:
-		r.Agents = append(r.Agents, a)
+		r.Nodes = append(r.Nodes, a)
 		return
 	case a.LastBatchAt.IsZero():
 		return
 	}
-	have := &r.Agents[at]
+	have := &r.Nodes[at]
 	if have.LastBatchAt.IsZero() || a.Since.Before(have.Since) {
 		have.Since = a.Since
 	}
@@ -134,13 +136,13 @@
 // missing returns why the data of a service does not cover a window.
 func (r *Report) missing(service registrar.ServiceName, window time.Duration) []string {
 	var all []string
-	for _, a := range r.Agents {
+	for _, a := range r.Nodes {
 		from := r.At.Add(-window)
 		if a.StartedAt.After(from) {
 			from = a.StartedAt
 		}
 		switch {
-		case a.Service != service:
+		case a.Service != service && a.Service != "":
 		case a.LastBatchAt.IsZero():
 			all = append(all, fmt.Sprintf("no data of %s", a.Machine))
 		case r.At.Sub(a.LastBatchAt) > missingAfter && !a.Stopped:
@@ -172,8 +174,13 @@
 // Judge returns a finding for each line and speed, the lines in order.
 func (r *Report) Judge() []Finding {
 	var all []Finding
-	for _, l := range r.Lines {
+	// Lines are sorted by service, so what is missing is found once for each service.
+	var missing [len(rules)][]string
+	for at, l := range r.Lines {
 		for i, rule := range rules {
+			if at == 0 || r.Lines[at-1].Service != l.Service {
+				missing[i] = r.missing(l.Service, rule.long)
+			}
 			w := l.Windows[i]
 			f := Finding{
 				Service: l.Service, Customer: l.Customer, Speed: rule.speed, Threshold: rule.threshold,
@@ -181,7 +188,7 @@
 				FailedLong:  burn(w.Long.Failed, w.Long.Requests, l.Answered),
 				SlowShort:   burn(w.Short.Slow, w.Short.Requests, l.Fast),
 				SlowLong:    burn(w.Long.Slow, w.Long.Requests, l.Fast),
-				Requests:    w.Long.Requests, Missing: r.missing(l.Service, rule.long),
+				Requests:    w.Long.Requests, Missing: missing[i],
 			}
 			f.Verdict = f.conclude()
 			all = append(all, f)
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -21,6 +21,11 @@
 	Valid(now time.Time) bool
 }
 
+// Outages counts the tries of callers that no upstream could take.
+type Outages interface {
+	Unserved(service registrar.ServiceName, customer registrar.CustomerName)
+}
+
 const shardCount = 16
 
 type shard struct {
@@ -40,6 +45,8 @@
 	Stamper *stamper.Stamper
 	Lease   Lease
 	Counter *counter.Counter
+	// Outages is told of new QUIC connections that are dropped for want of an upstream; nil for nobody.
+	Outages Outages
 	// Entry is the data address that agents answer to.
 	Entry netip.AddrPort
 
@@ -143,6 +150,7 @@
 	target, flags, reason := f.target(r, flow, payload)
 	if reason != carrier.Passed {
 		customer.Drop()
+		f.reportOutage(r, name, payload, reason)
 		return none, reason
 	}
 	u, ok := r.Upstream(target)
@@ -156,6 +164,7 @@
 	}
 	if reason != carrier.Passed {
 		customer.Drop()
+		f.reportOutage(r, name, payload, reason)
 		return none, reason
 	}
 	customer.Pass(now)
@@ -166,6 +175,19 @@
 	return u.DataAddress, carrier.Passed
 }
 
+// reportOutage reports the first packet of a connection that no upstream can take. Agents cannot count such a try.
+func (f *Forwarder) reportOutage(r *entryRoute, customer registrar.CustomerName, payload []byte, reason carrier.DropReason) {
+	if f.Outages == nil || r.Service.Transport != registrar.TransportQUIC {
+		return
+	}
+	if reason != carrier.DropNoUpstream && reason != carrier.DropZoneWithdrawn {
+		return
+	}
+	if kind, _ := stamper.Parse(payload); kind == stamper.Initial {
+		f.Outages.Unserved(r.Service.Name, customer)
+	}
+}
+
 // target picks the upstream of a datagram: the one that its connection id names, or else the owner of its bucket.
 func (f *Forwarder) target(r *entryRoute, flow registrar.Flow, payload []byte) (registrar.UpstreamID, carrier.Flags, carrier.DropReason) {
 	if r.Service.Transport == registrar.TransportQUIC {
--- a/internal/setting/parser/settings_test.go
+++ b/internal/setting/parser/settings_test.go
@@ -165,6 +165,10 @@
 			load(t, want.folder, "control", func(path string, c Control) {
 				check(path, c.Machine)
 				require.Len(t, c.Members, 3, path)
+				require.Len(t, c.Objectives, len(want.services), path)
+				for _, o := range c.Objectives {
+					require.Contains(t, want.services, o.Service, path)
+				}
 			})
 			load(t, want.folder, "entry", func(path string, e Entry) {
 				check(path, e.Machine)
--- a/internal/wire/encoder/burn.go
+++ b/internal/wire/encoder/burn.go
@@ -25,8 +25,8 @@
 	p = binary.AppendUvarint(p, uint64(b.StartedAt.UnixMilli()))
 	p = binary.AppendUvarint(p, uint64(len(b.Customers)))
 	for _, c := range b.Customers {
-		p = binary.AppendUvarint(p, uint64(len(c.Customer)))
-		p = append(p, c.Customer...)
+		p = appendText(p, string(c.Service))
+		p = appendText(p, string(c.Customer))
 		p = binary.AppendUvarint(p, c.Failed)
 		// A bit for each count that follows.
 		mask, at := uint64(0), len(p)
@@ -42,6 +42,10 @@
 	return p
 }
 
+func appendText(p []byte, s string) []byte {
+	return append(binary.AppendUvarint(p, uint64(len(s))), s...)
+}
+
 func flag(set bool) byte {
 	if set {
 		return 1
@@ -85,7 +89,9 @@
 	b := &burner.Batch{Number: r.number(), Final: r.number() != 0, StartedAt: time.UnixMilli(int64(r.number()))}
 	n := r.number()
 	for i := uint64(0); i < n && !r.bad; i++ {
-		c := burner.CustomerCounts{Customer: registrar.CustomerName(r.text()), Failed: r.number()}
+		c := burner.CustomerCounts{
+			Service: registrar.ServiceName(r.text()), Customer: registrar.CustomerName(r.text()), Failed: r.number(),
+		}
 		mask := r.number()
 		for bucket := range c.Answered {
 			if mask&(1<<bucket) != 0 {
--- a/internal/wire/encoder/burn_test.go
+++ b/internal/wire/encoder/burn_test.go
@@ -19,7 +19,10 @@
 			StartedAt: time.UnixMilli(rapid.Int64Range(0, 1<<42).Draw(t, "started")),
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "customers") {
-			c := burner.CustomerCounts{Customer: registrar.CustomerName(rapid.String().Draw(t, "customer")), Failed: rapid.Uint64().Draw(t, "failed")}
+			c := burner.CustomerCounts{
+				Service:  registrar.ServiceName(rapid.String().Draw(t, "service")),
+				Customer: registrar.CustomerName(rapid.String().Draw(t, "customer")), Failed: rapid.Uint64().Draw(t, "failed"),
+			}
 			for i := range c.Answered {
 				c.Answered[i] = rapid.Uint64Range(0, 300).Draw(t, "answered")
 			}
@@ -43,7 +46,7 @@
 func TestBatchSize(t *testing.T) {
 	b := &burner.Batch{Number: 1 << 20, StartedAt: time.Now()}
 	for range burner.BatchLimit {
-		c := burner.CustomerCounts{Customer: "a-customer-with-a-long-name", Failed: 1000}
+		c := burner.CustomerCounts{Service: "a-service-name", Customer: "a-customer-with-a-long-name", Failed: 1000}
 		for i := range c.Answered {
 			c.Answered[i] = 1000
 		}
