--- a/internal/fake/measurer/product_test.go
+++ b/internal/fake/measurer/product_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -43,7 +44,7 @@
 func newEstate(t *testing.T, seed uint64) *estate {
 	zones := []registrar.ZoneName{"johor-a", "johor-b"}
 	d := deployer.New(t, deployer.Options{
-		Controls: 1, Entries: 3, Region: "johor", Zones: zones,
+		Controls: 3, Entries: 3, Region: "johor", Zones: zones,
 		Services: []deployer.Service{{
 			Name: "order-desk", Transport: registrar.TransportQUIC, Slots: 8,
 			Zones: []registrar.ZoneName{"johor-a", "johor-b", "johor-a", "johor-b"},
@@ -139,13 +140,24 @@
 	redials, requests, failed := e.broken()
 	t.Logf("3 entries in %.1f s: %d flows, %d broken; %d requests, %d failed", time.Since(began).Seconds(), openFlows, redials, requests, failed)
 	began = time.Now()
+	for i := range e.Controls {
+		require.NoError(t, e.Process(fmt.Sprintf("control-%d", i)).Stop())
+		e.StartControl(i)
+		e.awaitReady(t, e.ControlAddr(i))
+	}
+	time.Sleep(requestPause)
+	again, all, bad := e.broken()
+	t.Logf("3 control instances in %.1f s: %d flows, %d broken; %d requests, %d failed", time.Since(began).Seconds(), openFlows,
+		again-redials, all-requests, bad-failed)
+	redials, requests, failed = again, all, bad
+	began = time.Now()
 	for i := range e.Services[0].Zones {
 		require.NoError(t, e.Process("agent-"+string(e.UpstreamName(0, i))).Stop())
 		e.StartAgent(0, i)
 		e.awaitReady(t, e.AgentAddr(0, i))
 	}
 	time.Sleep(requestPause)
-	again, all, bad := e.broken()
+	again, all, bad = e.broken()
 	t.Logf("4 agents in %.1f s: %d connections opened again; %d requests, %d failed", time.Since(began).Seconds(), again-redials, all-requests, bad-failed)
 }
 
--- a/internal/report/burner/collector.go
+++ b/internal/report/burner/collector.go
@@ -16,15 +16,15 @@
 	slotTime = 30 * time.Second
 	// history is the longest window.
 	history   = 6 * time.Hour
-	slotCount = int64(history/slotTime) + 1
+	slotCount = slot(history/slotTime) + 1
 )
 
 // slot is the time since the Unix epoch in units of slotTime.
-type slot int64
+type slot int32
 
 func slotOf(t time.Time) slot { return slot(t.Unix() / int64(slotTime/time.Second)) }
 
-// series holds the counts of one service and customer for the last history. Its size is about 11 KB.
+// series holds the counts of one service and customer for the last history. Its size is 11.5 KB.
 type series struct {
 	slots [slotCount]struct {
 		at                     slot
@@ -33,7 +33,7 @@
 }
 
 func (s *series) add(at slot, c RequestCounts) {
-	e := &s.slots[int64(at)%slotCount]
+	e := &s.slots[at%slotCount]
 	if e.at != at {
 		e.at, e.requests, e.failed, e.slow = at, 0, 0, 0
 	}
@@ -45,8 +45,8 @@
 // sum adds up the slots after one time and up to another.
 func (s *series) sum(after, until slot) RequestCounts {
 	var c RequestCounts
-	for at := max(after+1, until-slot(slotCount)+1); at <= until; at++ {
-		if e := &s.slots[int64(at)%slotCount]; e.at == at {
+	for at := max(after+1, until-slotCount+1); at <= until; at++ {
+		if e := &s.slots[at%slotCount]; e.at == at {
 			c.add(RequestCounts{uint64(e.requests), uint64(e.failed), uint64(e.slow)})
 		}
 	}
