--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -111,8 +111,8 @@
 func (a *app) addCommands() {
 	a.api = newAPIFlags(a)
 	for _, add := range []func(*app){
-		addZone, addService, addUpstream, addCustomer, addContract, addPlan, addConfirm, addStatus, addTrace, addProof, addAudit, addMember,
-		addReport, addRoles, addCheckSettings, addKeys, addVersion,
+		addZone, addService, addUpstream, addCustomer, addContract, addPlan, addConfirm, addStatus, addTrace, addProof, addAudit,
+		addMember, addReport, addRoles, addCheckSettings, addKeys, addVersion,
 	} {
 		add(a)
 	}
--- a/internal/front/administrator/administrator_test.go
+++ b/internal/front/administrator/administrator_test.go
@@ -67,7 +67,8 @@
 	log := &directLog{ledger: ledger}
 	return &Administrator{
 		Log: log, Ledger: ledger, Collector: alone{}, Authority: alone{}, Membership: alone{},
-		Recorder: recorder.Discard(), Burn: func(time.Time) burner.Report { return burner.Report{} },
+		Recorder: recorder.Discard(),
+		Burn:     func(time.Time) burner.Report { return burner.Report{} },
 	}, log
 }
 
