Take SIGHUP from the start of a process on

A SIGHUP before the signal was registered, for example while a control instance opens its log, ended the process. The signal is now registered right after the keys are read. TestForeignDatagrams sends forged datagrams as well.

--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -43,6 +43,7 @@
 	if err != nil {
 		return eris.Wrap(err, "service_certificate_file")
 	}
+	reload := reloadOnHangup(rec, keys, pair)
 	n, err := newNode(cfg.Node, registrar.RoleAgent, keys, rec)
 	if err != nil {
 		return err
@@ -93,7 +94,7 @@
 	// Heartbeats continue while the agent drains, because its lease must stay valid.
 	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
-	g.run(reloadOnHangup(rec, keys, pair))
+	g.run(reload)
 	g.run(e.Run)
 	g.run(func(ctx context.Context) error { return expireFlows(ctx, t, r) })
 	rec.Info(recorder.MachineStarted)
--- a/internal/cli/runner/burn.go
+++ b/internal/cli/runner/burn.go
@@ -47,8 +47,10 @@
 			return
 		}
 		if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
-			name, _ := h.customers.Allowed(a.Addr().Unmap())
-			h.meter.Record(h.service, name, time.Since(began), rec.failed())
+			// A caller whose contract ended during the request has no customer that the request could count for.
+			if name, _ := h.customers.Allowed(a.Addr().Unmap()); name != "" {
+				h.meter.Record(h.service, name, time.Since(began), rec.failed())
+			}
 		}
 	}()
 	h.next.ServeHTTP(rec, r)
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return err
 	}
+	reload := reloadOnHangup(rec, keys)
 	updates := &publisher.Publisher{}
 	ledger := planner.NewLedger(updates)
 	peers := &connector.Peers{TLS: keys.Client, Recorder: rec}
@@ -84,7 +85,7 @@
 	}).Run)
 	g.run(announcements.run)
 	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: log, Recorder: rec}).run)
-	g.run(reloadOnHangup(rec, keys))
+	g.run(reload)
 	g.run(e.Run)
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -22,6 +22,7 @@
 	if err != nil {
 		return err
 	}
+	reload := reloadOnHangup(rec, keys)
 	n, err := newNode(cfg.Node, registrar.RoleEntry, keys, rec)
 	if err != nil {
 		return err
@@ -55,7 +56,7 @@
 	// The entry keeps its lease and goes on forwarding while it lingers.
 	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
-	g.run(reloadOnHangup(rec, keys))
+	g.run(reload)
 	g.run(e.Run)
 	rec.Info(recorder.MachineStarted)
 	select {
--- a/internal/cli/runner/reload.go
+++ b/internal/cli/runner/reload.go
@@ -15,7 +15,8 @@
 	Reload() error
 }
 
-// reloadOnHangup returns a function that reloads on SIGHUP until its context ends. What cannot be read stays as it was.
+// reloadOnHangup returns a function that reloads on SIGHUP until its context ends. What cannot be read stays as it was. It
+// takes the signal from the call on, so that a SIGHUP during the start neither ends the process nor is lost.
 func reloadOnHangup(rec *recorder.Recorder, all ...reloader) func(ctx context.Context) error {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
@@ -26,13 +27,13 @@
 			case <-ctx.Done():
 				return nil
 			case <-hangup:
-				reload(rec, all)
+				reloadAll(rec, all)
 			}
 		}
 	}
 }
 
-func reload(rec *recorder.Recorder, all []reloader) {
+func reloadAll(rec *recorder.Recorder, all []reloader) {
 	var err error
 	for _, r := range all {
 		err = errors.Join(err, r.Reload())
--- a/internal/cli/runner/version_test.go
+++ b/internal/cli/runner/version_test.go
@@ -56,19 +56,21 @@
 	}
 }
 
-// TestDatagramVersion guards against datagrams of another format version that are counted as forged ones, which would hide
-// an upgrade gone wrong.
-func TestDatagramVersion(t *testing.T) {
+// TestForeignDatagrams guards against forged datagrams that pass, and against datagrams of another format version that are
+// counted as forged ones, which would hide an upgrade gone wrong.
+func TestForeignDatagrams(t *testing.T) {
 	d := small(t)
 	d.StartEntry(0)
 	data := d.EntrySettings(0)["data_address"].(netip.AddrPort)
 	conn, err := net.Dial("udp", data.String())
 	require.NoError(t, err)
 	defer conn.Close()
-	datagram := make([]byte, encoder.HeaderSize)
-	datagram[0] = encoder.DatagramVersion + 1
-	require.Eventually(t, func() bool {
-		_, _ = conn.Write(datagram)
-		return d.Metrics(d.EntryAddr(0))[`peridotstage_packets_dropped_total{reason="bad_version"}`] > 0
-	}, deployer.WaitTime, deployer.PollTime)
+	for version, reason := range map[byte]string{encoder.DatagramVersion + 1: "bad_version", encoder.DatagramVersion: "bad_seal"} {
+		datagram := make([]byte, encoder.HeaderSize)
+		datagram[0] = version
+		require.Eventually(t, func() bool {
+			_, _ = conn.Write(datagram)
+			return d.Metrics(d.EntryAddr(0))[`peridotstage_packets_dropped_total{reason="`+reason+`"}`] > 0
+		}, deployer.WaitTime, deployer.PollTime, reason)
+	}
 }
