--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -43,6 +43,7 @@
 	if err != nil {
 		return eris.Wrap(err, "service_certificate_file")
 	}
+	reload := reloadOnHangup(rec, keys, pair)
 	n, err := newNode(cfg.Node, registrar.RoleAgent, keys, rec)
 	if err != nil {
 		return err
@@ -70,7 +71,7 @@
 	// Heartbeats continue while the agent drains, because its lease must stay valid.
 	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
-	g.run(reloadOnHangup(rec, keys, pair))
+	g.run(reload)
 	g.run(e.Run)
 	g.run((&connector.Server{Address: cfg.ControlAddress, TLS: keys.Server, Claims: a.owner}).Run)
 	g.run(a.expire)
@@ -153,17 +154,16 @@
 	a.responder = &responder.Responder{
 		Tracker: a.tracker, Counter: a.counter, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey,
 		DataAddress: cfg.DataAddress, Upstream: cfg.UpstreamAddress, Newer: n.newer,
-		Handler: &meteredHandler{next: a.handler, meter: a.meter, customers: a.tracker},
+		Handler: &meteredHandler{next: a.handler, meter: a.meter, service: cfg.Service, customers: a.tracker},
 	}
 	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, a.counter}
-	n.confirmBurn = a.meter.Confirm
+	n.meter(a.meter)
 	n.describe = a.describe
 	return a
 }
 
 // describe completes a heartbeat.
 func (a *agent) describe(h *leaser.Heartbeat) {
-	h.Burn = a.meter.Batch(time.Now())
 	h.Announcement = &leaser.Announcement{
 		Upstream: a.cfg.Upstream, Service: a.cfg.Service, Slots: a.cfg.Slots,
 		Weight:     a.admission.limiter.Weight(time.Now()),
--- a/internal/cli/runner/metrics.go
+++ b/internal/cli/runner/metrics.go
@@ -20,6 +20,7 @@
 // Reasons why a machine is not ready.
 var (
 	errStopping        = eris.New("planned stop")
+	errNoLeader        = eris.New("not in contact with a leader that holds its lease")
 	errNoLease         = eris.New("no valid lease")
 	errUnknownUpstream = eris.New("configuration does not contain the upstream")
 	errBehind          = eris.New("newest known revision is not in force")
