Prove the data path under kills, freezes, cuts and lossy links

Adds internal/fake/faulter: a seeded datagram proxy (drop, delay, duplicate, reorder, corrupt, cut by sender and direction) and a TCP proxy that loses bytes without closing. The deployer puts them in front of every data address and between nodes and control. The new setting local_data_address makes that possible: data_address is announced, local_data_address bound.

The tests found and this change mends:

The idle timeout is 2.7 s now. - quic-go callers do not go below an idle timeout of 5 s for the peer's sake; callers have to set their own. - A caller that went on sending on an ended connection counted as a live flow. - Calls between machines had no limit on a connection that went silent at the server. Both ends now close a connection on which nothing arrives, the client after 4 s and the server after 4.5 s.

--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -47,7 +47,7 @@
 		Stamper: keys.Stamper,
 	}
 	r := &responder.Responder{
-		Tracker: t, Counter: counts, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey, DataAddress: cfg.DataAddress,
+		Tracker: t, Counter: counts, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey, DataAddress: cfg.BindData(),
 		Certificate: &tls.Config{GetCertificate: pair.Get, MinVersion: tls.VersionTLS13},
 		Handler:     &responder.Passer{Upstream: cfg.UpstreamAddress, Transport: &http.Transport{}},
 		Upstream:    cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
--- a/internal/fake/deployer/client.go
+++ b/internal/fake/deployer/client.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 	"github.com/quic-go/quic-go/http3"
 	"github.com/stretchr/testify/require"
 
+	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/fake/backend"
 	"github.com/peridotstage/peridotstage/internal/fake/sprayer"
@@ -30,6 +32,9 @@
 // WaitTime bounds the wait for a deployment to become ready. It is not a promise of the product.
 const WaitTime = 20 * time.Second
 
+// callerIdle makes callers find a silent connection within the 5 s that the product promises for its own end.
+const callerIdle = 3 * time.Second
+
 var requestNumbers atomic.Uint64
 
 // API calls the intent API of control instance i as an operator and decodes the answer into out.
@@ -202,6 +207,34 @@
 	base      string
 	transport *quic.Transport
 	conn      net.PacketConn
+	dials     atomic.Int64
+	latest    atomic.Pointer[quic.Conn]
+	// final is set once no connection may be opened any more.
+	final atomic.Bool
+}
+
+// ErrFinal means that the caller may not open another connection.
+var ErrFinal = errors.New("no further connection is opened")
+
+// StopDialing keeps the caller from hiding the end of its connection behind a new one.
+func (c *Caller) StopDialing() { c.final.Store(true) }
+
+// Connection returns a context that ends with the newest connection.
+func (c *Caller) Connection() context.Context { return c.latest.Load().Context() }
+
+// Dials returns how many connections the caller has opened.
+func (c *Caller) Dials() int { return int(c.dials.Load()) }
+
+// LiveFlows returns the number of flows that the agents hold for a customer.
+func (d *Deployment) LiveFlows(customer registrar.CustomerName) int {
+	d.t.Helper()
+	var p leaser.Proof
+	d.anyControl(http.MethodGet, fmt.Sprintf("/v1/customers/%s/proof", customer), nil, &p)
+	n := 0
+	for _, node := range p.Nodes {
+		n += int(node.Evidence.LiveFlows)
+	}
+	return n
 }
 
 // Caller returns a client of service s that calls from source address i.
@@ -213,9 +246,15 @@
 	to := net.UDPAddrFromAddrPort(d.ServiceAddr(s))
 	c.Transport = &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: d.pool(), ServerName: string(d.Services[s].Name)},
-		QUICConfig:      &quic.Config{KeepAlivePeriod: 5 * time.Second},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: callerIdle, KeepAlivePeriod: time.Second},
 		Dial: func(ctx context.Context, _ string, cfg *tls.Config, qc *quic.Config) (*quic.Conn, error) {
-			return c.transport.DialEarly(ctx, to, cfg, qc)
+			if c.final.Load() {
+				return nil, ErrFinal
+			}
+			c.dials.Add(1)
+			conn, err := c.transport.DialEarly(ctx, to, cfg, qc)
+			c.latest.Store(conn)
+			return conn, err
 		},
 	}
 	d.t.Cleanup(c.Close)
--- a/internal/fake/deployer/deployer.go
+++ b/internal/fake/deployer/deployer.go
@@ -20,6 +20,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/peridotstage/peridotstage/internal/fake/faulter"
 	"github.com/peridotstage/peridotstage/internal/secret/issuer"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -27,7 +28,9 @@
 
 // Ports that machines use on addresses of their own.
 const (
-	controlPort  = 7000
+	controlPort = 7000
+	// faultyPort is the announced data port of a machine behind a fault proxy.
+	faultyPort   = 7102
 	apiPort      = 7001
 	dataPort     = 7002
 	metricsPort  = 7003
@@ -53,6 +56,8 @@
 	Region   registrar.RegionName
 	Zones    []registrar.ZoneName
 	Services []Service
+	// Faulty puts fault proxies in front of the data address of every entry and agent and between every node and control.
+	Faulty bool
 }
 
 // Deployment is a set of running processes. Its processes end with the test.
@@ -64,6 +69,9 @@
 	block [2]byte
 	mu    sync.Mutex
 	procs map[string]*Process
+	links map[string]*faulter.Proxy
+	// streams are keyed by node name; each has one for each control instance.
+	streams map[string][]*faulter.Stream
 }
 
 // Process is one running process.
@@ -104,7 +112,7 @@
 	t.Helper()
 	_, err := build()
 	require.NoError(t, err)
-	d := &Deployment{Options: o, t: t, Folder: t.TempDir(), procs: map[string]*Process{}}
+	d := &Deployment{Options: o, t: t, Folder: t.TempDir(), procs: map[string]*Process{}, links: map[string]*faulter.Proxy{}, streams: map[string][]*faulter.Stream{}}
 	// Test binaries run side by side, so the process id separates their addresses.
 	n := uint32(os.Getpid())*7 + blocks.Add(1)
 	d.block = [2]byte{byte(1 + n/120%250), byte(2 * (n % 120))}
@@ -207,6 +215,9 @@
 		control = append(control, netip.AddrPortFrom(d.ControlAddr(i), controlPort))
 	}
 	s["control"] = control
+	if d.Faulty {
+		d.addFaults(s, name, a, control)
+	}
 	return s
 }
 
--- a/internal/fake/sprayer/sprayer.go
+++ b/internal/fake/sprayer/sprayer.go
@@ -8,9 +8,10 @@
 	"net"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/fake/faulter"
 )
 
 const (
@@ -18,14 +19,8 @@
 	socketBuffer = 4 << 20
 )
 
-// Faults are probabilities between 0 and 1 that apply to each datagram in each direction.
-type Faults struct {
-	Drop      float64
-	Duplicate float64
-	// Delay is the probability that a datagram is held for up to MaxDelay, which also reorders it.
-	Delay    float64
-	MaxDelay time.Duration
-}
+// Faults are those of the links between callers and entries.
+type Faults = faulter.Faults
 
 // Sprayer carries the datagrams of one service address. The exported fields are set before Run.
 type Sprayer struct {
@@ -35,13 +30,16 @@
 
 	public *net.UDPConn
 	mu     sync.Mutex
-	// random, entries and faults may change while the sprayer runs.
+	// random and entries may change while the sprayer runs.
 	random  *rand.Rand
 	entries []netip.AddrPort
-	faults  Faults
 	callers map[netip.AddrPort]*net.UDPConn
-	closed  bool
-	wg      sync.WaitGroup
+	// forgotten holds the callers whose datagrams are lost for good.
+	forgotten map[netip.AddrPort]bool
+	closed    bool
+	wg        sync.WaitGroup
+	// toEntries and toCallers are the two directions.
+	toEntries, toCallers faulter.Link
 }
 
 // SetEntries replaces the entry addresses that datagrams are handed to.
@@ -51,11 +49,24 @@
 	s.entries = append([]netip.AddrPort(nil), entries...)
 }
 
-// SetFaults replaces the faults.
-func (s *Sprayer) SetFaults(f Faults) {
+// SetFaults replaces the faults of both directions.
+func (s *Sprayer) SetFaults(f Faults) { s.SetDirections(f, f) }
+
+// SetDirections replaces the faults of each direction.
+func (s *Sprayer) SetDirections(toEntries, toCallers Faults) {
+	s.toEntries.SetFaults(toEntries)
+	s.toCallers.SetFaults(toCallers)
+}
+
+// Forget loses all further datagrams of the callers that have been seen so far, in both directions, as a middlebox does
+// that lost track of their flows. New callers are carried.
+func (s *Sprayer) Forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = f
+	for caller, conn := range s.callers {
+		s.forgotten[caller] = true
+		_ = conn.Close()
+	}
 }
 
 // Run starts carrying datagrams. Close ends it.
@@ -66,7 +77,9 @@
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
 	s.public = conn
+	s.toEntries.Seed, s.toCallers.Seed = s.Seed+1, s.Seed+2
 	s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
+	s.forgotten = map[netip.AddrPort]bool{}
 	s.callers = map[netip.AddrPort]*net.UDPConn{}
 	s.wg.Go(s.fromCallers)
 	return nil
@@ -98,7 +111,7 @@
 		if !ok {
 			continue
 		}
-		s.pass(b[:n], func(p []byte) { _, _ = conn.WriteToUDPAddrPort(p, to) })
+		s.toEntries.Pass(b[:n], func(p []byte) { _, _ = conn.WriteToUDPAddrPort(p, to) })
 	}
 }
 
@@ -107,7 +120,7 @@
 func (s *Sprayer) pick(caller netip.AddrPort) (*net.UDPConn, netip.AddrPort, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.entries) == 0 {
+	if s.closed || s.forgotten[caller] || len(s.entries) == 0 {
 		return nil, netip.AddrPort{}, false
 	}
 	conn := s.callers[caller]
@@ -134,31 +147,6 @@
 		if err != nil {
 			continue
 		}
-		s.pass(b[:n], func(p []byte) { _, _ = s.public.WriteToUDPAddrPort(p, caller) })
-	}
-}
-
-// pass sends a datagram with the present faults.
-func (s *Sprayer) pass(payload []byte, send func([]byte)) {
-	s.mu.Lock()
-	f := s.faults
-	drop := s.random.Float64() < f.Drop
-	duplicate := s.random.Float64() < f.Duplicate
-	var wait time.Duration
-	if f.MaxDelay > 0 && s.random.Float64() < f.Delay {
-		wait = time.Duration(s.random.Int64N(int64(f.MaxDelay)))
-	}
-	s.mu.Unlock()
-	if drop {
-		return
-	}
-	if duplicate {
-		send(payload)
-	}
-	if wait == 0 {
-		send(payload)
-		return
+		s.toCallers.Pass(b[:n], func(p []byte) { _, _ = s.public.WriteToUDPAddrPort(p, caller) })
 	}
-	held := append([]byte(nil), payload...)
-	time.AfterFunc(wait, func() { send(held) })
 }
--- a/internal/front/connector/client.go
+++ b/internal/front/connector/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -39,12 +40,19 @@
 			return c.conn, nil
 		}
 	}
-	d := tls.Dialer{Config: c.TLS()}
+	var d net.Dialer
 	raw, err := d.DialContext(ctx, "tcp", c.Address.String())
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", c.Address)
 	}
-	c.conn = drpcconn.New(raw)
+	cfg := c.TLS().Clone()
+	cfg.ServerName = c.Address.Addr().String()
+	secure := tls.Client(&watchedConn{Conn: raw, limit: clientSilence}, cfg)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, eris.Wrapf(err, "connect to %s", c.Address)
+	}
+	c.conn = drpcconn.New(secure)
 	return c.conn, nil
 }
 
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/netip"
 	"time"
 
@@ -45,10 +46,11 @@
 		next.VerifyConnection = verifyMachine
 		return next, nil
 	}}
-	ln, err := tls.Listen("tcp", s.Address.String(), cfg)
+	raw, err := net.Listen("tcp", s.Address.String())
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Address)
 	}
+	ln := tls.NewListener(&watchedListener{Listener: raw}, cfg)
 	return eris.Wrap(drpcserver.New(mux).Serve(ctx, ln), "serve calls")
 }
 
--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -29,12 +29,11 @@
 const (
 	maxDatagram  = 64 << 10
 	socketBuffer = 4 << 20
-	// idleTimeout is the QUIC idle timeout of both ends: the lower of the two advertised values holds. It comes after the
-	// prober's silentAfter, so that this end can still tell the caller. If only the way to the caller is cut, the caller
-	// gives up after idleTimeout and this end after another silentAfter plus one interval, 4.75 s in all.
-	idleTimeout = 2300 * time.Millisecond
-	// keepAlive is the interval of QUIC pings on a connection without other traffic. It leaves the caller 1.2 s, several
-	// probe timeouts of QUIC, to acknowledge before the prober gives up.
+	// idleTimeout is advertised as the QUIC idle timeout of both ends. It is longer than the prober's silentAfter plus one
+	// interval, because QUIC drops an idle connection without telling the caller. Some callers do not go below their own minimum; that of quic-go is 5 s unless its
+	// settings say less.
+	idleTimeout = 2700 * time.Millisecond
+	// keepAlive is the interval of QUIC pings for callers that permit no probes.
 	keepAlive = 1 * time.Second
 	// closeCut is the QUIC application error code for connections of customers that were cut off.
 	closeCut quic.ApplicationErrorCode = 0x1001
--- a/internal/route/tracker/flow.go
+++ b/internal/route/tracker/flow.go
@@ -57,6 +57,9 @@
 	// redirect is the upstream that holds the flow, or zero if this agent does.
 	redirect registrar.UpstreamID
 	answers  uint32
+	// closed records are those of ended QUIC connections. They are kept for a while, since the caller may send on and has to
+	// be told that the connection is gone.
+	closed   bool
 	customer *counter.Customer
 	// generation is the newest generation when the flow was admitted.
 	generation registrar.Revision
@@ -66,6 +69,9 @@
 	expireAt instant
 }
 
+// live reports whether the record stands for a flow that this agent holds.
+func (r *flowRecord) live() bool { return r.redirect == 0 && !r.closed }
+
 func (r *flowRecord) seen(now instant, entry netip.AddrPort) {
 	if e := endpointOf(entry); r.entries[0] != e {
 		r.entries[1] = r.entries[0]
@@ -84,12 +90,11 @@
 	if s.flows == nil {
 		s.flows = map[endpoint]flowRecord{}
 	}
-	old, had := s.flows[caller]
-	if had && old.redirect == 0 {
+	if old, had := s.flows[caller]; had && old.live() {
 		old.customer.AddFlows(-1)
 	}
 	s.flows[caller] = r
-	if r.redirect == 0 {
+	if r.live() {
 		r.customer.AddFlows(1)
 	}
 }
@@ -100,7 +105,7 @@
 		return
 	}
 	delete(s.flows, caller)
-	if r.redirect == 0 {
+	if r.live() {
 		r.customer.AddFlows(-1)
 	}
 }
@@ -112,13 +117,24 @@
 	return &t.shards[xxhash.Sum64(key[:])%shardCount]
 }
 
-// Close forgets the flow of a caller.
+// Close ends the flow of a caller.
 func (t *Tracker) Close(caller netip.AddrPort) {
+	t.routeMu.RLock()
+	defer t.routeMu.RUnlock()
 	key := endpointOf(caller)
 	s := t.shard(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.remove(key)
+	r, ok := s.flows[key]
+	if !ok {
+		return
+	}
+	if t.route == nil || t.route.Service.Transport == registrar.TransportUDP {
+		s.remove(key)
+		return
+	}
+	r.closed = true
+	s.put(key, r)
 }
 
 // Expire forgets the flows that have been idle too long.
@@ -155,6 +171,10 @@
 		s.mu.Lock()
 		st.Flows += len(s.flows)
 		for _, r := range s.flows {
+			if r.closed {
+				st.Flows--
+				continue
+			}
 			if st.Oldest == 0 || r.generation < st.Oldest {
 				st.Oldest = r.generation
 			}
--- a/internal/route/tracker/place.go
+++ b/internal/route/tracker/place.go
@@ -34,6 +34,11 @@
 		s.remove(key)
 		known = false
 	}
+	if known && r.closed && !h.Has(carrier.Direct) {
+		// A new connection from the address of an ended one is admitted like any other.
+		s.remove(key)
+		known = false
+	}
 	if known {
 		return t.deliver(at, s, h, r)
 	}
--- a/internal/setting/parser/settings.go
+++ b/internal/setting/parser/settings.go
@@ -59,10 +59,19 @@
 type Node struct {
 	Machine
 	DataAddress  netip.AddrPort   `json:"data_address" rule:"address" doc:"where the machine takes datagrams of other machines (UDP)"`
+	LocalData    netip.AddrPort   `json:"local_data_address" rule:"address" default:"" doc:"local address to bind for data_address where the platform maps it; without it data_address itself is bound"`
 	Control      []netip.AddrPort `json:"control" rule:"address" min:"1" max:"64" doc:"control addresses of the control instances and their replicas"`
 	LeaseExpired LeaseExpired     `json:"lease_expired" rule:"lease_expired" default:"fence" doc:"what to do without a valid lease: fence passes nothing; serve goes on with the last configuration, and proofs then say that nothing is proved"`
 }
 
+// BindData returns the address to bind for datagrams of other machines.
+func (n *Node) BindData() netip.AddrPort {
+	if n.LocalData.IsValid() {
+		return n.LocalData
+	}
+	return n.DataAddress
+}
+
 // Entry holds the settings of an entry.
 type Entry struct {
 	Node
