Tell callers of a withdrawn zone at once that their connection is gone

Callers waited for their idle timeout, 3 s for those of the tests and 30 s for others, before they opened a connection to another zone: the agents of the zone may not answer any more. The entry now sends a stateless reset for a connection id of a withdrawn zone. It does so for no other reason, because the token of a live connection would let a third party end it.

--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -29,7 +29,7 @@
 		Stamper: keys.Stamper, Lease: n.subscriber, Counter: counts, Entry: cfg.DataAddress,
 	}
 	l := &listener.Listener{
-		Decider: f, Counter: counts, Keys: keys.Data, DataAddress: cfg.BindData(), AddressMap: cfg.AddressMap,
+		Decider: f, Counter: counts, Keys: keys.Data, DataAddress: cfg.BindData(), AddressMap: cfg.AddressMap, ResetKey: keys.ResetKey,
 		Recorder: rec, Newer: n.newer,
 	}
 	n.subscriber.Enforcers = []subscriber.Enforcer{f, l}
--- a/internal/cli/runner/zone_test.go
+++ b/internal/cli/runner/zone_test.go
@@ -1,14 +1,17 @@
 package runner_test
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/require"
 
 	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/fake/deployer"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
@@ -108,6 +111,32 @@
 	}
 }
 
+// TestWithdrawnCallers guards that callers of a withdrawn zone are told at once that their connection is gone, instead of
+// waiting for their idle timeout.
+func TestWithdrawnCallers(t *testing.T) {
+	s := newSite(t)
+	var inside []*deployer.Caller
+	for i := 0; len(inside) < 3; i++ {
+		caller := s.Caller(quicService, i)
+		a, err := caller.Get("/stock", enforceLimit)
+		require.NoError(t, err)
+		if a.Header.Get("Backend") == string(s.UpstreamName(quicService, 0)) {
+			inside = append(inside, caller)
+		}
+	}
+	s.Carry(planner.Intent{Kind: planner.WithdrawZone, Zone: &registrar.Zone{Name: zoneA}})
+	s.WaitReady()
+	for _, caller := range inside {
+		var reset *quic.StatelessResetError
+		conn := caller.Connection()
+		_, err := caller.Get("/stock", enforceLimit)
+		require.Error(t, err)
+		require.ErrorAs(t, context.Cause(conn), &reset, "%v", err)
+		_, err = caller.Get("/stock", enforceLimit)
+		require.NoError(t, err)
+	}
+}
+
 // TestRetiredUpstream guards promise 8: an upstream that was retired gets no new flow after 3 s, even from an entry that is
 // cut off from control, and keeps its own.
 func TestRetiredUpstream(t *testing.T) {
--- a/internal/front/listener/listener.go
+++ b/internal/front/listener/listener.go
@@ -47,6 +47,8 @@
 	Recorder   *recorder.Recorder
 	// Newer is called with each revision that an agent's datagram carries.
 	Newer func(registrar.Revision)
+	// ResetKey derives the tokens of stateless resets, as the agents derive them.
+	ResetKey [32]byte
 	// Sockets is the number of sockets that share each address, and the number of pollers; 0 selects one for each
 	// processor, at most maxSockets.
 	Sockets int
@@ -136,6 +138,7 @@
 	payload := sc.datagram()
 	to, reason := l.Decider.FromCaller(time.Now(), flow, payload, &sc.header)
 	if reason != carrier.Passed {
+		l.reset(reason, flow, sc)
 		return
 	}
 	// The payload already lies behind the room for the header.
--- /dev/null
+++ b/internal/route/forwarder/forwarder_test.go
@@ -0,0 +1,55 @@
+package forwarder_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/peridotstage/peridotstage/internal/fake/conductor"
+	"github.com/peridotstage/peridotstage/internal/route/carrier"
+	"github.com/peridotstage/peridotstage/internal/route/tracker"
+	"github.com/peridotstage/peridotstage/internal/wire/encoder"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// round returns a function that takes one datagram from a caller through an entry and an agent and its answer back.
+func round() func() {
+	c := conductor.New([]conductor.Service{{
+		Name: "order-desk", Transport: registrar.TransportUDP, Zones: []registrar.ZoneName{"johor-a", "johor-b"},
+	}}, 1)
+	keys := encoder.NewKeyring(encoder.Key{K0: 1, K1: 2})
+	f, payload := conductor.Flow(0, 1), make([]byte, 200)
+	c.Send(0, f, payload)
+	agent := c.Settle()[0].Agent
+	buffer := make([]byte, 0, 4096)
+	self, _ := agent.Self()
+	return func() {
+		var h carrier.Header
+		_, reason := c.Entries[0].FromCaller(c.Now, f, payload, &h)
+		buffer = keys.Append(buffer[:0], &h, payload)
+		p, err := keys.Parse(buffer, &h)
+		h.Target = self.ID
+		v := agent.Receive(c.Now, &h, p)
+		answer, ok := agent.Answer(c.Now, f.Caller)
+		buffer = keys.Append(buffer[:0], &answer, payload)
+		_, err2 := keys.Parse(buffer, &h)
+		back := c.Entries[0].FromAgent(c.Now, &h)
+		if reason != carrier.Passed || err != nil || v.Action != tracker.Deliver || !ok || err2 != nil || back != carrier.Passed {
+			panic("datagram did not pass")
+		}
+	}
+}
+
+// TestNoAllocation guards the hot path of entries and agents against allocations, which cost a collection every few
+// thousand packets.
+func TestNoAllocation(t *testing.T) {
+	require.Zero(t, testing.AllocsPerRun(1000, round()))
+}
+
+func BenchmarkRound(b *testing.B) {
+	f := round()
+	b.ReportAllocs()
+	for b.Loop() {
+		f()
+	}
+}
