Send late answers only through entries heard from within 300 ms

The test of quiet callers reused the caller's own traffic and passed with answers that stuck to a dead entry, also because the test cache did not depend on the code that the processes run. It now uses plain UDP callers that never send again, and the package imports the commands.

--- a/internal/cli/runner/flows_test.go
+++ b/internal/cli/runner/flows_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	// The tests run this code as processes, so that the test cache has to depend on it.
+	_ "github.com/peridotstage/peridotstage/internal/cli/commander"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/fake/backend"
 	"github.com/peridotstage/peridotstage/internal/fake/deployer"
@@ -187,21 +189,33 @@
 	}
 }
 
-// TestQuietCaller guards that an answer reaches a caller that stays quiet after the entry it last used is gone.
+// TestQuietCaller guards that an answer reaches a caller that stays quiet after the entry it last used was killed. Answers
+// that stick to that entry get lost.
 func TestQuietCaller(t *testing.T) {
 	s := newSite(t)
 	s.spray(0)
-	caller := s.Caller(quicService, 0)
-	_, err := caller.Get("/stock", time.Second)
-	require.NoError(t, err)
-	others := s.OpenFlows(quicService, 5)
+	var quiet []net.Conn
+	for i := range 8 {
+		conn, err := net.DialUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(s.CallerAddr(i), 0)), net.UDPAddrFromAddrPort(s.ServiceAddr(udpService)))
+		require.NoError(t, err)
+		defer conn.Close()
+		_, err = conn.Write([]byte(backend.LatePrefix))
+		require.NoError(t, err)
+		quiet = append(quiet, conn)
+	}
+	time.Sleep(backend.LateTime / 4)
 	s.Process("entry-0").Kill()
 	s.spray(1, 2)
-	require.Empty(t, others.Exchange())
-	a, err := caller.Get("/bytes?n=262144", silentLimit)
-	require.NoError(t, err)
-	require.Len(t, a.Body, 262144)
-	require.Equal(t, 1, caller.Dials())
+	others := s.OpenFlows(udpService, 40)
+	for start := time.Now(); time.Since(start) < backend.LateTime; {
+		require.Empty(t, others.Exchange())
+	}
+	b := make([]byte, 100)
+	for _, conn := range quiet {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(backend.LateTime)))
+		_, err := conn.Read(b)
+		require.NoError(t, err, "the answer got lost")
+	}
 }
 
 // TestWrongService guards promise 2: sealed datagrams of one service that arrive at the agents of the other one, as they
--- a/internal/fake/backend/echo.go
+++ b/internal/fake/backend/echo.go
@@ -1,16 +1,25 @@
 package backend
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
 
+// Answers that come late.
+const (
+	LatePrefix = "late"
+	LateTime   = time.Second
+)
+
 // Echo is a stand-in for an upstream of a plain UDP service. It answers each datagram with its name, the address that it
-// sees as the sender, and the datagram. The exported fields are set before Run.
+// sees as the sender, and the datagram. It holds the answer to a datagram that starts with LatePrefix for LateTime. The
+// exported fields are set before Run.
 type Echo struct {
 	Name    string
 	Address netip.AddrPort
@@ -39,8 +48,14 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err == nil {
-			_, _ = e.conn.WriteToUDPAddrPort(fmt.Appendf(nil, "%s %s %s", e.Name, from, b[:n]), from)
+		if err != nil {
+			continue
+		}
+		answer := fmt.Appendf(nil, "%s %s %s", e.Name, from, b[:n])
+		if !bytes.HasPrefix(b[:n], []byte(LatePrefix)) {
+			_, _ = e.conn.WriteToUDPAddrPort(answer, from)
+			continue
 		}
+		time.AfterFunc(LateTime, func() { _, _ = e.conn.WriteToUDPAddrPort(answer, from) })
 	}
 }
--- a/internal/route/tracker/answer.go
+++ b/internal/route/tracker/answer.go
@@ -9,8 +9,9 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-// entryLive is how long after a datagram from an entry the entry counts as running.
-const entryLive = 1 * time.Second
+// entryLive is how long after a datagram from an entry the entry counts as running. With 1 s, late answers went to an entry
+// that had been killed 750 ms before.
+const entryLive = callerQuiet
 
 // entryProbes bounds how many entries of the configuration are looked at for one answer.
 const entryProbes = 8
