--- a/internal/cli/runner/flows_test.go
+++ b/internal/cli/runner/flows_test.go
@@ -10,8 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	// The tests run this code as processes, so that the test cache has to depend on it.
-	_ "github.com/peridotstage/peridotstage/internal/cli/commander"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/fake/backend"
 	"github.com/peridotstage/peridotstage/internal/fake/deployer"
@@ -35,6 +33,7 @@
 	t        *testing.T
 	fabrics  []*sprayer.Sprayer
 	backends []*backend.Backend
+	echoes   []*backend.Echo
 }
 
 func newSite(t *testing.T) *site {
@@ -47,9 +46,8 @@
 			{Name: "catalogue", Transport: registrar.TransportUDP, Slots: 8, Zones: append(zones, "johor-a")},
 		},
 	})
-	d.Echoes(udpService)
 	s := &site{
-		Deployment: d, t: t, backends: d.Backends(quicService, nil),
+		Deployment: d, t: t, echoes: d.Echoes(udpService), backends: d.Backends(quicService, nil),
 		fabrics: []*sprayer.Sprayer{d.Fabric(quicService, 1), d.Fabric(udpService, 2)},
 	}
 	d.StartAll()
@@ -224,8 +222,8 @@
 	s := newSite(t)
 	var mu sync.Mutex
 	var captured [][]byte
-	for i := range 4 {
-		s.Link(s.AgentName(udpService, i)).SetTap(func(_ time.Time, d []byte) {
+	for _, name := range s.nodes() {
+		s.Link(name).SetTap(func(_ time.Time, d []byte) {
 			mu.Lock()
 			defer mu.Unlock()
 			captured = append(captured, append([]byte(nil), d...))
@@ -239,7 +237,7 @@
 	replay := func() {
 		mu.Lock()
 		defer mu.Unlock()
-		for n, d := range captured[:20] {
+		for n, d := range captured {
 			changed := append([]byte(nil), d...)
 			changed[n%len(changed)] ^= 1
 			for _, b := range [][]byte{d, changed, d[:len(d)/2]} {
@@ -265,6 +263,9 @@
 	for _, b := range s.backends {
 		served += b.Served()
 	}
+	for _, e := range s.echoes {
+		require.Zero(t, e.Unexpected(), "%s got datagrams of the other service", e.Name)
+	}
 	require.Equal(t, int64(10), served, "requests that no caller made reached an upstream")
 }
 
--- a/internal/fake/backend/echo.go
+++ b/internal/fake/backend/echo.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,9 +25,16 @@
 	Name    string
 	Address netip.AddrPort
 
-	conn *net.UDPConn
+	// Expect starts every datagram that callers send, apart from late ones.
+	Expect string
+
+	conn       *net.UDPConn
+	unexpected atomic.Int64
 }
 
+// Unexpected returns the number of datagrams that no caller has sent in this form.
+func (e *Echo) Unexpected() int64 { return e.unexpected.Load() }
+
 // Run starts answering. Close ends it.
 func (e *Echo) Run() error {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(e.Address))
@@ -51,8 +59,12 @@
 		if err != nil {
 			continue
 		}
+		late := bytes.HasPrefix(b[:n], []byte(LatePrefix))
+		if !late && !bytes.HasPrefix(b[:n], []byte(e.Expect)) {
+			e.unexpected.Add(1)
+		}
 		answer := fmt.Appendf(nil, "%s %s %s", e.Name, from, b[:n])
-		if !bytes.HasPrefix(b[:n], []byte(LatePrefix)) {
+		if !late {
 			_, _ = e.conn.WriteToUDPAddrPort(answer, from)
 			continue
 		}
--- a/internal/fake/deployer/deployer.go
+++ b/internal/fake/deployer/deployer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io/fs"
 	"maps"
 	"net/netip"
 	"os"
@@ -92,19 +93,36 @@
 
 // build compiles the command once per test binary.
 func build() (string, error) {
-	buildOnce.Do(func() {
-		dir, err := os.MkdirTemp("", "peridotstage-bin")
-		if err != nil {
-			buildErr = err
-			return
-		}
-		binary = filepath.Join(dir, "peridotstage")
-		out, err := exec.Command("go", "build", "-o", binary, "github.com/peridotstage/peridotstage").CombinedOutput()
-		if err != nil {
-			buildErr = fmt.Errorf("build: %w: %s", err, out)
+	buildOnce.Do(func() { binary, buildErr = compile() })
+	return binary, buildErr
+}
+
+func compile() (string, error) {
+	const module = "github.com/peridotstage/peridotstage"
+	root, err := exec.Command("go", "list", "-m", "-f", "{{.Dir}}", module).Output()
+	if err != nil {
+		return "", fmt.Errorf("find module: %w", err)
+	}
+	// Go caches the result of a test by the files that it looks at. The command is compiled by another process, so its
+	// sources are looked at here.
+	err = filepath.WalkDir(filepath.Join(strings.TrimSpace(string(root)), "internal"), func(path string, _ fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, ".go") {
+			_, err = os.Stat(path)
 		}
+		return err
 	})
-	return binary, buildErr
+	if err != nil {
+		return "", fmt.Errorf("look at sources: %w", err)
+	}
+	dir, err := os.MkdirTemp("", "peridotstage-bin")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "peridotstage")
+	if out, err := exec.Command("go", "build", "-o", path, module).CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return path, nil
 }
 
 // New prepares a deployment without starting anything.
--- a/internal/fake/deployer/flows.go
+++ b/internal/fake/deployer/flows.go
@@ -26,15 +26,21 @@
 )
 
 // Echoes starts a plain UDP upstream for each upstream of service s.
-func (d *Deployment) Echoes(s int) {
+func (d *Deployment) Echoes(s int) []*backend.Echo {
 	d.t.Helper()
+	var all []*backend.Echo
 	for i := range d.Services[s].Zones {
-		e := &backend.Echo{Name: string(d.UpstreamName(s, i)), Address: d.BackendAddr(s, i)}
+		e := &backend.Echo{Name: string(d.UpstreamName(s, i)), Address: d.BackendAddr(s, i), Expect: question}
 		require.NoError(d.t, e.Run())
 		d.t.Cleanup(e.Close)
+		all = append(all, e)
 	}
+	return all
 }
 
+// question starts the datagrams of plain UDP callers.
+const question = "question"
+
 // Flow is an established flow of a caller.
 type Flow interface {
 	// Exchange sends and gets an answer. It returns who answered, in a form that changes if the flow was broken.
@@ -63,10 +69,10 @@
 // Exchange implements Flow.
 func (f *udpFlow) Exchange() (string, error) {
 	f.number++
-	question := fmt.Sprintf("question-%d", f.number)
+	text := fmt.Sprintf("%s-%d", question, f.number)
 	b := make([]byte, 2048)
 	for range udpTries {
-		if _, err := f.conn.Write([]byte(question)); err != nil {
+		if _, err := f.conn.Write([]byte(text)); err != nil {
 			return "", err
 		}
 		if err := f.conn.SetReadDeadline(time.Now().Add(udpWait)); err != nil {
@@ -77,7 +83,7 @@
 			if err != nil {
 				break
 			}
-			if holder, ok := strings.CutSuffix(string(b[:n]), " "+question); ok {
+			if holder, ok := strings.CutSuffix(string(b[:n]), " "+text); ok {
 				return holder, nil
 			}
 		}
