--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/listener"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
-	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/forwarder"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
@@ -24,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	counts := &counter.Counter{}
+	counts := n.counts
 	f := &forwarder.Forwarder{
 		Stamper: keys.Stamper, Lease: n.subscriber, Counter: counts, Entry: cfg.DataAddress,
 	}
@@ -32,15 +33,35 @@
 		Decider: f, Counter: counts, Keys: keys.Data, DataAddress: cfg.BindData(), AddressMap: cfg.AddressMap, ResetKey: keys.ResetKey,
 		Recorder: rec, Newer: n.newer,
 	}
-	n.subscriber.Enforcers = []subscriber.Enforcer{f, l}
-	n.describe = func(h *leaser.Heartbeat) { h.Evidence = counts.Evidence() }
+	n.subscriber.Enforcers = []subscriber.Enforcer{f, l, counts}
+	n.describe = func(*leaser.Heartbeat) {}
+	e, err := newExporter(cfg.Machine, func(now time.Time) error {
+		return errors.Join(n.ready(now, f.Revision()), l.Problem())
+	})
+	if err != nil {
+		return err
+	}
+	if err := n.export(e, counts); err != nil {
+		return err
+	}
 	if err := l.Run(); err != nil {
 		return err
 	}
 	defer l.Stop()
-	g := newGroup(ctx)
+	// The entry keeps its lease and goes on forwarding while it lingers.
+	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
 	g.run(reloadOnHangup(rec, keys))
+	g.run(e.Run)
 	rec.Info(recorder.MachineStarted)
+	select {
+	case <-ctx.Done():
+	case <-g.ctx.Done():
+		return g.wait()
+	}
+	n.stopping.Store(true)
+	rec.Info(recorder.StopBegun)
+	g.pause(time.Duration(cfg.Linger))
+	g.cancel(nil)
 	return g.wait()
 }
--- a/internal/cli/runner/flows_test.go
+++ b/internal/cli/runner/flows_test.go
@@ -34,6 +34,8 @@
 	fabrics  []*sprayer.Sprayer
 	backends []*backend.Backend
 	echoes   []*backend.Echo
+	// weights counts the weights that were set, since each has to differ from the one before.
+	weights registrar.Weight
 }
 
 func newSite(t *testing.T) *site {
@@ -94,7 +96,8 @@
 func (s *site) reshape(i int) {
 	for service := range s.Services {
 		s.upstream(planner.RetireUpstream, service, i, 0)
-		s.upstream(planner.ChangeUpstream, service, (i+1)%4, 20_000)
+		s.weights++
+		s.upstream(planner.ChangeUpstream, service, (i+1)%4, 20_000+3001*s.weights)
 		s.upstream(planner.RestoreUpstream, service, i, 0)
 	}
 }
@@ -112,15 +115,15 @@
 	}{
 		{"weights", func() {
 			for i := range 4 {
-				s.upstream(planner.ChangeUpstream, quicService, i, registrar.Weight(2000*(i+1)))
-				s.upstream(planner.ChangeUpstream, udpService, i, registrar.Weight(2000*(i+1)))
+				s.upstream(planner.ChangeUpstream, quicService, i, registrar.Weight(2100*(i+1)))
+				s.upstream(planner.ChangeUpstream, udpService, i, registrar.Weight(2100*(i+1)))
 			}
 		}},
 		{"many generations while an upstream is retired", func() {
 			for service := range s.Services {
 				s.upstream(planner.RetireUpstream, service, 0, 0)
 				for i := range 12 {
-					s.upstream(planner.ChangeUpstream, service, 1+i%3, registrar.Weight(3000+1000*i))
+					s.upstream(planner.ChangeUpstream, service, 1+i%3, registrar.Weight(3050+1000*i))
 					time.Sleep(20 * time.Millisecond)
 				}
 				s.upstream(planner.RestoreUpstream, service, 0, 0)
--- a/internal/cli/runner/zone_test.go
+++ b/internal/cli/runner/zone_test.go
@@ -22,7 +22,8 @@
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	for service := range s.Services {
-		flows := s.OpenFlows(service, 15)
+		// With 40 flows, hardly ever does one of 4 upstreams get none.
+		flows := s.OpenFlows(service, 40)
 		wg.Go(func() {
 			for {
 				select {
--- a/internal/fake/deployer/client.go
+++ b/internal/fake/deployer/client.go
@@ -1,6 +1,7 @@
 package deployer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
@@ -13,6 +14,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +38,9 @@
 // callerIdle makes callers find a silent connection within the 5 s that the product promises for its own end.
 const callerIdle = 3 * time.Second
 
+// PollTime is the interval of polls for a condition.
+const PollTime = 10 * time.Millisecond
+
 var requestNumbers atomic.Uint64
 
 // API calls the intent API of control instance i as an operator and decodes the answer into out.
@@ -82,6 +88,39 @@
 	return pool
 }
 
+// Ready reports whether the machine at an address says that it is ready.
+func (d *Deployment) Ready(a netip.Addr) bool {
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Get("http://" + d.MetricsAddr(a).String() + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Metrics returns the metrics of the machine at an address, by name with labels and by name alone, which is the sum over
+// labels. It is empty if the machine does not answer.
+func (d *Deployment) Metrics(a netip.Addr) map[string]float64 {
+	all := map[string]float64{}
+	resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + d.MetricsAddr(a).String() + "/metrics")
+	if err != nil {
+		return all
+	}
+	defer resp.Body.Close()
+	for sc := bufio.NewScanner(resp.Body); sc.Scan(); {
+		name, value, ok := strings.Cut(sc.Text(), " ")
+		if v, err := strconv.ParseFloat(value, 64); ok && err == nil {
+			base, _, labelled := strings.Cut(name, "{")
+			all[base] += v
+			if labelled {
+				all[name] = v
+			}
+		}
+	}
+	return all
+}
+
 // Carry plans an intent and confirms the plan, trying the control instances in turn until one answers.
 func (d *Deployment) Carry(in planner.Intent) planner.Result {
 	d.t.Helper()
@@ -191,11 +230,7 @@
 func (d *Deployment) Fabric(s int, seed uint64) *sprayer.Sprayer {
 	d.t.Helper()
 	f := &sprayer.Sprayer{Address: d.ServiceAddr(s), Seed: seed}
-	var entries []netip.AddrPort
-	for i := range d.Entries {
-		entries = append(entries, d.EntryServiceAddr(i, s))
-	}
-	f.SetEntries(entries)
+	f.SetEntries(d.EntryAddresses(s, -1))
 	require.NoError(d.t, f.Run())
 	d.t.Cleanup(f.Close)
 	return f
@@ -222,9 +257,6 @@
 // Connection returns a context that ends with the newest connection.
 func (c *Caller) Connection() context.Context { return c.latest.Load().Context() }
 
-// Dials returns how many connections the caller has opened.
-func (c *Caller) Dials() int { return int(c.dials.Load()) }
-
 // LiveFlows returns the number of flows that the agents hold for a customer.
 func (d *Deployment) LiveFlows(customer registrar.CustomerName) int {
 	d.t.Helper()
@@ -237,6 +269,9 @@
 	return n
 }
 
+// Dials returns how often the client has opened a connection.
+func (c *Caller) Dials() int64 { return c.dials.Load() }
+
 // Caller returns a client of service s that calls from source address i.
 func (d *Deployment) Caller(s, i int) *Caller {
 	d.t.Helper()
--- a/internal/front/connector/client.go
+++ b/internal/front/connector/client.go
@@ -52,7 +52,7 @@
 		_ = raw.Close()
 		return nil, eris.Wrapf(err, "connect to %s", c.Address)
 	}
-	c.conn = drpcconn.New(secure)
+	c.conn = drpcconn.NewWithOptions(secure, drpcconn.Options{Manager: managerOptions()})
 	return c.conn, nil
 }
 
--- a/internal/front/listener/listener.go
+++ b/internal/front/listener/listener.go
@@ -3,6 +3,7 @@
 package listener
 
 import (
+	"errors"
 	"net/netip"
 	"runtime"
 	"sync"
@@ -58,7 +59,9 @@
 	// updateMu orders updates. Datagrams only load services, whose map is replaced and never changed.
 	updateMu sync.Mutex
 	services atomic.Pointer[map[netip.AddrPort][]*socket]
-	scratch  sync.Pool
+	// unbound holds why service addresses could not be bound at the newest update.
+	unbound []error
+	scratch sync.Pool
 }
 
 // scratch holds the memory for one datagram in progress.
@@ -106,6 +109,7 @@
 	defer l.updateMu.Unlock()
 	before := *l.services.Load()
 	after := map[netip.AddrPort][]*socket{}
+	l.unbound = nil
 	for _, s := range w.Services() {
 		if after[s.Address] = before[s.Address]; after[s.Address] == nil {
 			after[s.Address] = l.open(s.Address)
@@ -119,6 +123,13 @@
 	}
 }
 
+// Problem returns why the entry does not take the datagrams of every service, or nil if it does.
+func (l *Listener) Problem() error {
+	l.updateMu.Lock()
+	defer l.updateMu.Unlock()
+	return errors.Join(l.unbound...)
+}
+
 // open returns no sockets if the address cannot be bound; the next update tries again.
 func (l *Listener) open(service netip.AddrPort) []*socket {
 	local := service
@@ -129,6 +140,7 @@
 		l.fromCaller(registrar.Flow{Caller: from, Service: service}, sc)
 	})
 	if err != nil {
+		l.unbound = append(l.unbound, err)
 		l.Recorder.Error(recorder.ListenFailed, zap.Stringer("service_address", service), recorder.Err(err))
 	}
 	return sockets
@@ -149,7 +161,7 @@
 func (l *Listener) fromAgent(_ netip.AddrPort, sc *scratch) {
 	payload, err := l.Keys.Parse(sc.datagram(), &sc.header)
 	if err != nil {
-		l.Counter.Drop(carrier.DropBadSeal)
+		l.Counter.Drop(carrier.Refusal(err))
 		return
 	}
 	l.Newer(sc.header.Revision)
--- a/internal/route/tracker/place.go
+++ b/internal/route/tracker/place.go
@@ -24,6 +24,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, known := s.flows[key]
+	if known && t.reopens(&r, h, payload) {
+		if r.redirect == 0 {
+			return t.passReopened(h)
+		}
+		s.remove(key)
+		known = false
+	}
 	if known && r.redirect != 0 && !h.Has(carrier.Direct) {
 		if v := t.passTo(h, r.redirect, carrier.Redirected); v.Action == PassOn {
 			r.expireAt = at.add(t.flowIdle())
