--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -153,7 +153,7 @@
 	}
 	a.responder = &responder.Responder{
 		Tracker: a.tracker, Counter: a.counter, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey,
-		DataAddress: cfg.DataAddress, Upstream: cfg.UpstreamAddress, Newer: n.newer,
+		DataAddress: cfg.BindData(), Upstream: cfg.UpstreamAddress, Newer: n.newer,
 		Handler: &meteredHandler{next: a.handler, meter: a.meter, service: cfg.Service, customers: a.tracker},
 	}
 	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, a.counter}
--- a/internal/front/connector/client.go
+++ b/internal/front/connector/client.go
@@ -41,11 +41,11 @@
 			return c.conn, nil
 		}
 	}
-	raw, err := c.dial(ctx)
+	secure, err := c.dial(ctx)
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", c.Address)
 	}
-	c.conn = drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})
+	c.conn = drpcconn.NewWithOptions(secure, drpcconn.Options{Manager: managerOptions()})
 	return c.conn, nil
 }
 
--- a/internal/front/connector/traffic.go
+++ b/internal/front/connector/traffic.go
@@ -36,7 +36,7 @@
 	return n, err
 }
 
-// dial opens a connection whose bytes are counted in c.Traffic.
+// dial opens a connection whose bytes are counted in c.Traffic and which fails when nothing arrives for too long.
 func (c *Client) dial(ctx context.Context) (net.Conn, error) {
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.Address.String())
 	if err != nil {
@@ -46,7 +46,7 @@
 	if cfg.ServerName == "" {
 		cfg.ServerName = c.Address.Addr().String()
 	}
-	conn := tls.Client(&countedConn{Conn: raw, traffic: &c.Traffic}, cfg)
+	conn := tls.Client(&countedConn{Conn: &watchedConn{Conn: raw, limit: clientSilence}, traffic: &c.Traffic}, cfg)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, err
