--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -15,10 +15,10 @@
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/front/responder"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/request/claimer"
 	"github.com/peridotstage/peridotstage/internal/request/dispatcher"
-	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	if err := errors.Join(n.export(e, a.counter), exportFlows(e, a.tracker)); err != nil {
+	if err := errors.Join(n.export(e, n.counts), exportRequests(e, a.tracker, a.meter)); err != nil {
 		return err
 	}
 	if err := a.responder.Run(); err != nil {
@@ -86,6 +86,7 @@
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(cfg.Drain))
 	defer cancel()
 	err = a.responder.Shutdown(drain, a.handler.InFlight)
+	sendFinalBatch(g, n, a.meter)
 	// Control learns that no flows are left here, so that chains leave this agent out at once.
 	a.stopped.Store(true)
 	n.lastHeartbeat(drain)
@@ -109,7 +110,7 @@
 type agent struct {
 	cfg       parser.Agent
 	node      *node
-	counter   *counter.Counter
+	meter     *burner.Meter
 	admission *admission
 	tracker   *tracker.Tracker
 	owner     *claimer.Owner
@@ -126,7 +127,7 @@
 	l.Alarm = &alarm{limiter: l}
 	directory := &claimer.Directory{}
 	a := &agent{
-		cfg: cfg, node: n, counter: &counter.Counter{},
+		cfg: cfg, node: n, meter: &burner.Meter{StartedAt: time.Now()},
 		admission: &admission{service: cfg.Service, upstream: cfg.Upstream, limiter: l, directory: directory},
 		owner:     &claimer.Owner{StartedAt: time.Now(), Directory: directory, Lease: n.subscriber},
 		pool:      &responder.Pool{Address: cfg.UpstreamAddress, Broken: func() { l.TurnCold(time.Now()) }},
@@ -134,7 +135,7 @@
 	a.claims = &connector.Claims{TLS: keys.Client, Machine: cfg.Name, Local: a.owner}
 	a.tracker = &tracker.Tracker{
 		Machine: cfg.Name, Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: l,
-		Counter: a.counter, Stamper: keys.Stamper,
+		Counter: n.counts, Stamper: keys.Stamper,
 	}
 	var attempts atomic.Uint64
 	a.handler = &responder.Handler{
@@ -148,17 +149,19 @@
 		},
 	}
 	a.responder = &responder.Responder{
-		Tracker: a.tracker, Counter: a.counter, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey,
-		DataAddress: cfg.DataAddress, Handler: a.handler, Upstream: cfg.UpstreamAddress, Newer: n.newer,
+		Tracker: a.tracker, Counter: n.counts, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey,
+		DataAddress: cfg.DataAddress, Upstream: cfg.UpstreamAddress, Newer: n.newer,
+		Handler: &meteredHandler{next: a.handler, meter: a.meter, customers: a.tracker},
 	}
-	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder}
+	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, n.counts}
+	n.confirmBurn = a.meter.Confirm
 	n.describe = a.describe
 	return a
 }
 
 // describe completes a heartbeat.
 func (a *agent) describe(h *leaser.Heartbeat) {
-	h.Evidence = a.counter.Evidence()
+	h.Burn = a.meter.Batch(time.Now())
 	h.Announcement = &leaser.Announcement{
 		Upstream: a.cfg.Upstream, Service: a.cfg.Service, Slots: a.cfg.Slots,
 		Weight:     a.admission.limiter.Weight(time.Now()),
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"time"
 
-	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
+	"github.com/peridotstage/peridotstage/internal/control/driver"
 	"github.com/peridotstage/peridotstage/internal/control/granter"
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
-	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/front/administrator"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
@@ -20,47 +20,16 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-const (
-	silentInterval = 1 * time.Second
-	// systemProposeTime bounds the wait for a change that the system makes itself. It is shorter than heartbeatTimeout, so
-	// that a node gets its reply even while the log makes no progress.
-	systemProposeTime = 500 * time.Millisecond
-)
-
-// proposer writes system changes to the log.
-type proposer struct {
-	log administrator.Log
+// faultReporter logs faults of nodes.
+type faultReporter struct {
+	recorder *recorder.Recorder
 }
 
-// ProposeChanges proposes changes as one entry and returns why they were not applied.
-func (p *proposer) ProposeChanges(changes []registrar.Change) error {
-	entry, err := json.Marshal(planner.Command{
-		Kind: planner.CommandSystem, AtMilli: time.Now().UnixMilli(), Changes: changes,
-	})
-	if err != nil {
-		return eris.Wrap(err, "encode changes")
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), systemProposeTime)
-	defer cancel()
-	out, err := p.log.Propose(ctx, entry)
-	if err != nil {
-		return err
-	}
-	var r planner.Result
-	if err := json.Unmarshal(out, &r); err != nil {
-		return eris.Wrap(err, "decode result")
-	}
-	if r.Failure != nil {
-		return r.Failure
-	}
-	return nil
+// DigestDiffers logs that a node enforced another configuration than the one of its revision.
+func (f faultReporter) DigestDiffers(machine registrar.MachineName, at registrar.Revision) {
+	f.recorder.Error(recorder.DigestDiffers, zap.String("machine", string(machine)), zap.Uint64("revision", uint64(at)))
 }
 
-// soleAuthority vouches always, because a single instance knows every confirmed revision.
-type soleAuthority struct{}
-
-func (soleAuthority) Vouch(time.Time) (time.Duration, bool) { return 0, true }
-
 // Control runs a control instance until ctx ends.
 func Control(ctx context.Context, cfg parser.Control, rec *recorder.Recorder) error {
 	keys, err := loader.Load(cfg.Keys)
@@ -69,9 +38,18 @@
 	}
 	updates := &publisher.Publisher{}
 	ledger := planner.NewLedger(updates)
-	log := &replicator.Local{Machine: ledger}
+	peers := &connector.Peers{TLS: keys.Client, Recorder: rec}
+	log := &driver.Driver{
+		Name: cfg.Name, Folder: cfg.DataFolder, Members: cfg.Members, Machine: ledger, Sender: peers, Forwarder: peers,
+		Recorder: rec,
+	}
+	peers.Addresses = log
+	if err := log.Open(); err != nil {
+		return err
+	}
 	sessions := &leaser.Leaser{}
-	p := &proposer{log: log}
+	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Directory: log, TLS: keys.Client}
+	announcements := newAnnouncer(log, rec)
 	e, err := newExporter(cfg.Machine, func(time.Time) error {
 		if ctx.Err() != nil {
 			return errStopping
@@ -81,41 +59,30 @@
 	if err != nil {
 		return err
 	}
-	if err := exportControl(e, ledger.World, sessions); err != nil {
+	burns := newCollector(cfg)
+	report := burnReport(burns, ledger.World)
+	if err := errors.Join(exportControl(e, ledger.World, sessions), exportBurn(e, report)); err != nil {
 		return err
 	}
 	g := newGroup(ctx)
+	g.run(log.Run)
+	g.run(peers.Run)
 	g.run((&connector.Server{
-		Address: cfg.ControlAddress, TLS: keys.Server,
-		Heartbeats: &granter.Granter{
-			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: soleAuthority{}, Proposer: p,
-		},
+		Address: cfg.ControlAddress, TLS: keys.Server, Consensus: log,
+		Heartbeats: &burnCollector{collector: burns, next: &granter.Granter{
+			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: log,
+			Announcer: announcements, Reporter: faultReporter{rec},
+		}},
+		Collector: collector,
 	}).Run)
 	g.run((&administrator.Administrator{
-		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Leaser: sessions, Recorder: rec,
+		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Collector: collector, Authority: log,
+		Membership: log, Recorder: rec, Burn: report,
 	}).Run)
-	g.run(func(ctx context.Context) error { return markSilent(ctx, ledger.World, sessions, p) })
+	g.run(announcements.run)
+	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: log, Recorder: rec}).run)
 	g.run(reloadOnHangup(rec, keys))
 	g.run(e.Run)
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
 }
-
-// markSilent takes upstreams that are not heard any more out of new generations.
-func markSilent(ctx context.Context, w *registrar.World, l *leaser.Leaser, p *proposer) error {
-	// A fresh instance has heard nobody yet, so it waits for the first heartbeats.
-	timer := time.NewTimer(leaser.SilentAfter)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-timer.C:
-			if changes := l.Silent(now, w); len(changes) > 0 {
-				// A failed proposal is tried again in the next round.
-				_ = p.ProposeChanges(changes)
-			}
-			timer.Reset(silentInterval)
-		}
-	}
-}
--- a/internal/front/responder/exchange.go
+++ b/internal/front/responder/exchange.go
@@ -203,7 +203,7 @@
 
 func (x *exchange) stream(ctx context.Context, resp *http.Response, p *dispatcher.Passage) {
 	buffer := make([]byte, copyBuffer)
-	flusher, _ := x.w.(http.Flusher)
+	control := http.NewResponseController(x.w)
 	for {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
@@ -211,8 +211,9 @@
 				p.Result = limiter.Abandoned
 				return
 			}
-			if resp.ContentLength < 0 && flusher != nil {
-				flusher.Flush()
+			if resp.ContentLength < 0 {
+				// A writer that cannot flush still sends the answer at its end.
+				_ = control.Flush()
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/report/recorder/recorder_test.go
+++ b/internal/report/recorder/recorder_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"testing"
@@ -22,9 +23,20 @@
 		require.NotContains(t, listed, m[1], "event is listed twice")
 		listed[m[1]] = m[2]
 	}
-	file, err := parser.ParseFile(token.NewFileSet(), "recorder.go", nil, 0)
-	require.NoError(t, err)
 	coded := map[string]string{}
+	files, err := filepath.Glob("*.go")
+	require.NoError(t, err)
+	for _, name := range files {
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		require.NoError(t, err)
+		collectEvents(t, file, coded)
+	}
+	require.NotEmpty(t, coded)
+	require.Equal(t, coded, listed)
+}
+
+// collectEvents adds the numbers and messages of the events that a file declares.
+func collectEvents(t *testing.T, file *ast.File, coded map[string]string) {
 	ast.Inspect(file, func(n ast.Node) bool {
 		lit, ok := n.(*ast.CompositeLit)
 		if !ok || len(lit.Elts) != 2 {
@@ -40,6 +52,4 @@
 		coded[number] = message
 		return true
 	})
-	require.NotEmpty(t, coded)
-	require.Equal(t, coded, listed)
 }
--- a/internal/world/registrar/object.go
+++ b/internal/world/registrar/object.go
@@ -53,10 +53,13 @@
 	Weight Weight `json:"weight"`
 	// Retired upstreams keep their flows and get no new ones.
 	Retired bool `json:"retired,omitempty"`
-	// Draining upstreams are stopping: they keep their flows and get no new ones.
+	// Draining upstreams are stopping: they keep their flows and get no new ones, and no other machine may take the name
+	// over until they are silent.
 	Draining bool `json:"draining,omitempty"`
 	// Silent upstreams have stopped, or their agents are not heard any more. They hold no flows.
 	Silent bool `json:"silent,omitempty"`
+	// Pinned is true if an operator has set Weight. Announcements leave a pinned weight alone.
+	Pinned bool `json:"pinned,omitempty"`
 }
 
 // Machine is one process of the system.
@@ -67,6 +70,8 @@
 	DataAddress    netip.AddrPort `json:"data_address"`
 	ControlAddress netip.AddrPort `json:"control_address"`
 	Incarnation    Incarnation    `json:"incarnation"`
+	// ServesExpired is true if the machine keeps serving without a lease.
+	ServesExpired bool `json:"serves_expired,omitempty"`
 }
 
 // Customer is a party that uses services under contracts.
