--- a/internal/fake/checker/checker.go
+++ b/internal/fake/checker/checker.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -59,9 +60,24 @@
 
 // Post sends a job once.
 func Post(c *deployer.Caller, key string, limit time.Duration) (deployer.Answer, error) {
+	return post(c, key, limit, http.Header{})
+}
+
+func post(c *deployer.Caller, key string, limit time.Duration, header http.Header) (deployer.Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	return c.Do(ctx, http.MethodPost, "/jobs", http.Header{"Idempotency-Key": {key}}, []byte("job "+key))
+	header.Set("Idempotency-Key", key)
+	return c.Do(ctx, http.MethodPost, "/jobs", header, []byte("job "+key))
+}
+
+// hurry gives a part of the jobs deadlines that the queue often cannot meet, so that jobs end as not run.
+func hurry(r *rand.Rand) http.Header {
+	h := http.Header{}
+	if r.IntN(4) == 0 {
+		deadline := time.Now().Add(time.Duration(20+r.IntN(60)) * time.Millisecond)
+		h.Set("Request-Deadline", strconv.FormatInt(deadline.UnixMilli(), 10))
+	}
+	return h
 }
 
 // AwaitClaims waits until claim owners grant, which takes until the keys lie far enough ahead of the start of the agents.
@@ -144,7 +160,7 @@
 			c.Close()
 			c = e.Caller(0, r.IntN(callerCount))
 		}
-		a, err := Post(c, key, time.Duration(200+r.IntN(1800))*time.Millisecond)
+		a, err := post(c, key, time.Duration(200+r.IntN(1800))*time.Millisecond, hurry(r))
 		if err != nil {
 			continue
 		}
