--- a/internal/fake/measurer/intent_test.go
+++ b/internal/fake/measurer/intent_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// run sends heartbeats from all nodes for a time and returns the bytes of all of them.
-func run(all []*beater, d time.Duration) (total uint64, failures int) {
+// sendHeartbeats sends heartbeats from all nodes for a time and returns the bytes of all of them.
+func sendHeartbeats(all []*beater, d time.Duration) (total uint64, failures int) {
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
 	before := bytesOf(all)
@@ -171,8 +171,8 @@
 	for _, customers := range []int{0, 4, 20, 100} {
 		d := controlOnly(t)
 		all := newBeaters(t, d, nodes, customers, seed)
-		run(all, 2*time.Second)
-		steady, failures := run(all, span)
+		sendHeartbeats(all, 2*time.Second)
+		steady, failures := sendHeartbeats(all, span)
 		require.Zero(t, failures)
 		perNode := float64(steady) / nodes / span.Seconds()
 		const changes = 50
@@ -186,7 +186,7 @@
 				time.Sleep(span / changes / 2)
 			}
 		}()
-		changed, failures := run(all, span)
+		changed, failures := sendHeartbeats(all, span)
 		<-done
 		require.Zero(t, failures)
 		t.Logf("%3d active customers: %.0f B/s a node; %d changes: %.0f B a change and node", customers, perNode, changes,
@@ -215,12 +215,12 @@
 		d := controlOnly(t)
 		all := newBeaters(t, d, n, 4, seed)
 		before := d.Status().Revision
-		run(all, 3*time.Second)
+		sendHeartbeats(all, 3*time.Second)
 		entries := d.Status().Revision - before
 		pid := d.Process("control-0").PID()
 		used := processorTime(t, pid)
 		beats := beatsOf(all)
-		bytes, failures := run(all, span)
+		bytes, failures := sendHeartbeats(all, span)
 		beats = beatsOf(all) - beats
 		used = processorTime(t, pid) - used
 		t.Logf("%4d sessions: %.1f%% of a core, %.0f us a heartbeat, %d heartbeats a second, %.0f B/s a node, "+
