--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -126,7 +126,7 @@
 }
 
 func newAgent(cfg parser.Agent, keys *loader.Material, n *node) *agent {
-	l := &limiter.Limiter{Slots: cfg.Slots}
+	l := &limiter.Limiter{Slots: cfg.Slots, Watcher: watcher{n.recorder}}
 	l.Alarm = &alarm{limiter: l}
 	directory := &claimer.Directory{}
 	a := &agent{
--- a/internal/fake/measurer/intent_test.go
+++ b/internal/fake/measurer/intent_test.go
@@ -6,11 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -39,8 +36,6 @@
 	beatInterval = 500 * time.Millisecond
 	beatTime     = 5 * time.Second
 	controlPort  = 7000
-	// tickTime is the unit of processor time in /proc.
-	tickTime = 10 * time.Millisecond
 )
 
 // beater is a node that only sends heartbeats.
@@ -194,19 +189,6 @@
 	}
 }
 
-// processorTime returns the processor time that a process has used.
-func processorTime(t *testing.T, pid int) time.Duration {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	require.NoError(t, err)
-	_, rest, _ := strings.Cut(string(b), ") ")
-	fields := strings.Fields(rest)
-	user, err := strconv.Atoi(fields[11])
-	require.NoError(t, err)
-	system, err := strconv.Atoi(fields[12])
-	require.NoError(t, err)
-	return time.Duration(user+system) * tickTime
-}
-
 // measureSessions gives the processor time that heartbeats cost a control process, by number of sessions, with TLS and with 4
 // active customers at each node. It also gives the number of log entries for the announcements of all nodes.
 func measureSessions(t *testing.T, seed uint64) {
