--- a/internal/admit/limiter/gauge.go
+++ b/internal/admit/limiter/gauge.go
@@ -39,6 +39,9 @@
 	// Reference is the service time at which one slot weighs registrar.WeightPerSlot. All agents use the same one, so that
 	// weights of different upstreams compare.
 	Reference = 10 * time.Millisecond
+	// briefCold is how long a cold start has to last before it changes the announced weight of an upstream that was measured
+	// before. A shorter one was a stall, and each move of a weight moves buckets.
+	briefCold = 3 * time.Second
 	// coldShare is the part of its capacity that a cold upstream announces.
 	coldShare = 4
 )
@@ -99,7 +102,10 @@
 		g.watcher.ColdStart(r)
 	}
 	g.limit, g.cold, g.coldAt = leastLimit, true, now
-	g.successes, g.slow, g.samples = 0, 0, 0
+	g.successes, g.slow = 0, 0
+	if g.baseline == 0 {
+		g.samples = 0
+	}
 }
 
 func (g *gauge) wakeIdle(now time.Time, running int) {
@@ -194,7 +200,10 @@
 	case warm && g.limit+warmStep < float64(g.slots):
 		g.limit += warmStep
 	case warm:
-		g.limit, g.cold, g.samples = float64(g.slots), false, 0
+		g.limit, g.cold = float64(g.slots), false
+		if elapsed >= briefCold {
+			g.samples = 0
+		}
 		if elapsed >= longestCold {
 			g.baseline = 0
 		}
@@ -233,7 +242,8 @@
 		}
 		capacity = float64(l.slots) * float64(perSlot)
 	}
-	if l.cold || l.samples < minSamples {
+	brief := l.baseline > 0 && now.Sub(l.coldAt) < briefCold
+	if l.cold && !brief || l.samples < minSamples {
 		capacity /= coldShare
 	}
 	if l.failures >= failureRun {
--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -19,6 +19,7 @@
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/request/claimer"
 	"github.com/peridotstage/peridotstage/internal/request/dispatcher"
+	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
@@ -42,6 +43,7 @@
 	if err != nil {
 		return eris.Wrap(err, "service_certificate_file")
 	}
+	reload := reloadOnHangup(rec, keys, pair)
 	n, err := newNode(cfg.Node, registrar.RoleAgent, keys, rec)
 	if err != nil {
 		return err
@@ -60,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	if err := errors.Join(n.export(e, n.counts), exportRequests(e, a.tracker, a.meter)); err != nil {
+	if err := errors.Join(n.export(e, a.counter), exportRequests(e, a.tracker, a.meter)); err != nil {
 		return err
 	}
 	if err := a.responder.Run(); err != nil {
@@ -69,7 +71,7 @@
 	// Heartbeats continue while the agent drains, because its lease must stay valid.
 	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
-	g.run(reloadOnHangup(rec, keys, pair))
+	g.run(reload)
 	g.run(e.Run)
 	g.run((&connector.Server{Address: cfg.ControlAddress, TLS: keys.Server, Claims: a.owner}).Run)
 	g.run(a.expire)
@@ -110,6 +112,7 @@
 type agent struct {
 	cfg       parser.Agent
 	node      *node
+	counter   *counter.Counter
 	meter     *burner.Meter
 	admission *admission
 	tracker   *tracker.Tracker
@@ -127,7 +130,7 @@
 	l.Alarm = &alarm{limiter: l}
 	directory := &claimer.Directory{}
 	a := &agent{
-		cfg: cfg, node: n, meter: &burner.Meter{StartedAt: time.Now()},
+		cfg: cfg, node: n, counter: n.counts, meter: &burner.Meter{StartedAt: time.Now()},
 		admission: &admission{service: cfg.Service, upstream: cfg.Upstream, limiter: l, directory: directory},
 		owner:     &claimer.Owner{StartedAt: time.Now(), Directory: directory, Lease: n.subscriber},
 		pool:      &responder.Pool{Address: cfg.UpstreamAddress, Broken: func() { l.TurnCold(time.Now()) }},
@@ -135,7 +138,7 @@
 	a.claims = &connector.Claims{TLS: keys.Client, Machine: cfg.Name, Local: a.owner}
 	a.tracker = &tracker.Tracker{
 		Machine: cfg.Name, Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: l,
-		Counter: n.counts, Stamper: keys.Stamper,
+		Counter: a.counter, Stamper: keys.Stamper,
 	}
 	var attempts atomic.Uint64
 	a.handler = &responder.Handler{
@@ -149,19 +152,18 @@
 		},
 	}
 	a.responder = &responder.Responder{
-		Tracker: a.tracker, Counter: n.counts, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey,
+		Tracker: a.tracker, Counter: a.counter, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey,
 		DataAddress: cfg.DataAddress, Upstream: cfg.UpstreamAddress, Newer: n.newer,
-		Handler: &meteredHandler{next: a.handler, meter: a.meter, customers: a.tracker},
+		Handler: &meteredHandler{next: a.handler, meter: a.meter, service: cfg.Service, customers: a.tracker},
 	}
-	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, n.counts}
-	n.confirmBurn = a.meter.Confirm
+	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, a.counter}
+	n.meter(a.meter)
 	n.describe = a.describe
 	return a
 }
 
 // describe completes a heartbeat.
 func (a *agent) describe(h *leaser.Heartbeat) {
-	h.Burn = a.meter.Batch(time.Now())
 	h.Announcement = &leaser.Announcement{
 		Upstream: a.cfg.Upstream, Service: a.cfg.Service, Slots: a.cfg.Slots,
 		Weight:     a.admission.limiter.Weight(time.Now()),
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -133,6 +133,12 @@
 func (d *Driver) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	// A sole voter founds its log with the first tick and leads with the second.
+	for range 2 {
+		if err := d.handle(replicator.Tick{}); err != nil {
+			return err
+		}
+	}
 	for {
 		var ev replicator.Event
 		select {
--- a/internal/control/replicator/replica.go
+++ b/internal/control/replicator/replica.go
@@ -65,6 +65,8 @@
 	// termStart is the index of the first entry of this leader's term; 0 at others.
 	termStart atomic.Uint64
 
+	// now is the time of the event that is handled.
+	now       time.Time
 	session   uint64
 	startedAt time.Time
 	commit    Index
@@ -100,6 +102,7 @@
 
 // Step decides what follows from an event. The effects add up until Take.
 func (r *Replica) Step(now time.Time, ev Event) {
+	r.now = now
 	switch ev := ev.(type) {
 	case Tick:
 		r.tick(now)
@@ -184,7 +187,7 @@
 			continue
 		}
 		if next[m.ID] = r.peers[m.ID]; next[m.ID] == nil {
-			next[m.ID] = &Progress{next: r.log.Last().Index + 1}
+			next[m.ID] = &Progress{next: r.log.Last().Index + 1, addedAt: r.now}
 		}
 	}
 	r.peers = next
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -30,12 +30,12 @@
 	TLS func() *tls.Config
 	// Heartbeats answers the heartbeats of nodes; nil on machines that do not.
 	Heartbeats HeartbeatHandler
-	// Claims answers the claims of other agents; nil on machines that do not.
-	Claims ClaimHandler
 	// Collector holds the sessions that other control instances ask for; nil on machines that keep none.
 	Collector *Collector
 	// Consensus takes messages of other control instances; nil on machines that are none.
 	Consensus ConsensusHandler
+	// Claims answers the claims of other agents; nil on machines that do not.
+	Claims ClaimHandler
 }
 
 // HeartbeatHandler answers heartbeats.
@@ -51,16 +51,16 @@
 			return eris.Wrap(err, "register control service")
 		}
 	}
-	if s.Claims != nil {
-		if err := messenger.DRPCRegisterClaims(mux, &claimService{s.Claims}); err != nil {
-			return eris.Wrap(err, "register claims service")
-		}
-	}
 	if s.Consensus != nil {
 		if err := messenger.DRPCRegisterConsensus(mux, &consensusService{s.Consensus}); err != nil {
 			return eris.Wrap(err, "register consensus service")
 		}
 	}
+	if s.Claims != nil {
+		if err := messenger.DRPCRegisterClaims(mux, &claimService{s.Claims}); err != nil {
+			return eris.Wrap(err, "register claims service")
+		}
+	}
 	cfg := &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 		next := s.TLS()
 		next.VerifyConnection = verifyMachine
