--- a/internal/admit/limiter/gauge.go
+++ b/internal/admit/limiter/gauge.go
@@ -242,7 +242,7 @@
 		}
 		capacity = float64(l.slots) * float64(perSlot)
 	}
-	brief := l.baseline > 0 && now.Sub(l.coldAt) < briefCold
+	brief := l.baseline > 0 && l.failures < failureRun && now.Sub(l.coldAt) < briefCold
 	if l.cold && !brief || l.samples < minSamples {
 		capacity /= coldShare
 	}
--- a/internal/admit/limiter/limiter_test.go
+++ b/internal/admit/limiter/limiter_test.go
@@ -132,6 +132,13 @@
 	slow.serve(t, start.Add(30*time.Second), 40*time.Millisecond, limiter.Served)
 	require.InDelta(t, 8, float64(fast.Weight(fast.now))/float64(slow.Weight(slow.now)), 0.1)
 	require.Greater(t, float64(fast.Weight(fast.now)), 1.2*float64(cold))
+	warm := float64(fast.Weight(fast.now))
+	fast.serve(t, fast.now.Add(70*time.Millisecond), 35*time.Millisecond, limiter.Served)
+	require.Less(t, fast.Stats().Limit, 1.0)
+	for range 20 {
+		require.InEpsilon(t, warm, float64(fast.Weight(fast.now)), 0.2, "a stall moves the weight")
+		fast.serve(t, fast.now.Add(100*time.Millisecond), 5*time.Millisecond, limiter.Served)
+	}
 	fast.serve(t, fast.now.Add(time.Second), time.Millisecond, limiter.Failed)
 	require.Less(t, fast.Weight(fast.now), cold, "errors that come fast look like capacity")
 }
