--- a/internal/cli/runner/control_test.go
+++ b/internal/cli/runner/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
@@ -18,6 +19,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/fake/deployer"
 	"github.com/peridotstage/peridotstage/internal/front/administrator"
+	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
@@ -31,9 +33,28 @@
 	})
 	d.StartAll()
 	d.Configure("estate")
+	t.Cleanup(func() { checkNeverBack(t, d) })
 	return d
 }
 
+// checkNeverBack fails the test if an entry has enforced a revision after a newer one.
+func checkNeverBack(t *testing.T, d *deployer.Deployment) {
+	for i := range d.Entries {
+		var newest registrar.Revision
+		for _, line := range strings.Split(d.Log(fmt.Sprintf("entry-%d", i)), "\n") {
+			var l struct {
+				Event    int                `json:"event"`
+				Revision registrar.Revision `json:"revision"`
+			}
+			if json.Unmarshal([]byte(line), &l) == nil && l.Event == recorder.RevisionEnforced.Number {
+				require.Greater(t, l.Revision, newest, "entry-%d", i)
+				newest = l.Revision
+			}
+		}
+		require.NotZero(t, newest, "entry-%d", i)
+	}
+}
+
 var zoneNumber int
 
 // confirmZone carries out one change and returns the revision that confirmed it.
@@ -263,6 +284,7 @@
 		d.StartEntry(i)
 	}
 	d.Configure("estate")
+	t.Cleanup(func() { checkNeverBack(t, d) })
 	return c
 }
 
--- a/internal/control/driver/driver_test.go
+++ b/internal/control/driver/driver_test.go
@@ -123,8 +123,16 @@
 	}
 	cancel()
 	wg.Wait()
+	for i := range 3 {
+		stops[i]()
+	}
+	for i := range 3 {
+		machines[i], stops[i] = h.start(t, folder, i)
+	}
+	h.propose("last", 0, &confirmed)
 	require.Eventually(t, func() bool {
-		return machines[0].all() == machines[1].all() && machines[1].all() == machines[2].all()
+		return machines[0].all() == machines[1].all() && machines[1].all() == machines[2].all() &&
+			strings.Contains(machines[0].all(), "last")
 	}, 20*time.Second, 20*time.Millisecond, "members differ")
 	seen := map[string]int{}
 	for _, e := range strings.Fields(machines[0].all()) {
@@ -149,7 +157,7 @@
 		time.Sleep(time.Millisecond)
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	if _, err := d.Propose(ctx, []byte(entry)); err == nil {
 		confirmed.Store(entry, true)
--- a/internal/control/driver/store_test.go
+++ b/internal/control/driver/store_test.go
@@ -17,6 +17,9 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// crashStep is the step of TestStoreModel that ends in a crash.
+const crashStep = 5
+
 // want is the state that a store must load.
 type want struct {
 	replicator.State
@@ -60,16 +63,24 @@
 		require.NoError(rt, err)
 		id, w := s.id, want{}
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
-			switch rapid.IntRange(0, 5).Draw(rt, "step") {
+			step := rapid.IntRange(0, crashStep).Draw(rt, "step")
+			switch step {
 			case 0, 1, 2:
-				w.Ballot = elector.Ballot{Term: w.term + 1, For: 3}
-				b := w.Ballot
-				require.NoError(rt, s.write(replicator.Effects{Ballot: &b, Append: w.extend(rt)}))
+				e := replicator.Effects{Append: w.extend(rt)}
+				if rapid.IntRange(0, 4).Draw(rt, "vote") == 0 {
+					w.Ballot = elector.Ballot{Term: w.term, For: 3}
+					e.Ballot = &elector.Ballot{Term: w.term, For: 3}
+				}
+				require.NoError(rt, s.write(e))
 			case 3:
 				ownSnapshot(rt, s, &w)
 			case 4:
-				receivedSnapshot(rt, s, &w, rapid.Bool().Draw(rt, "crash"))
-			case 5:
+				receivedSnapshot(rt, s, &w, false)
+			case crashStep:
+				receivedSnapshot(rt, s, &w, true)
+			}
+			if step != crashStep && rapid.Bool().Draw(rt, "goes on") {
+				continue
 			}
 			require.NoError(rt, s.close())
 			s = &store{}
