--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -4,16 +4,22 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/peridotstage/peridotstage/internal/admit/budgeter"
+	"github.com/peridotstage/peridotstage/internal/admit/limiter"
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
+	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/front/responder"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/request/claimer"
+	"github.com/peridotstage/peridotstage/internal/request/dispatcher"
+	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
@@ -27,11 +33,6 @@
 	leavePoll = 50 * time.Millisecond
 )
 
-// openAdmitter admits all flows.
-type openAdmitter struct{}
-
-func (openAdmitter) AdmitFlow(time.Time) bool { return true }
-
 // Agent runs an agent until ctx ends and its requests are finished.
 func Agent(ctx context.Context, cfg parser.Agent, rec *recorder.Recorder) error {
 	keys, err := loader.Load(cfg.Keys)
@@ -46,31 +47,13 @@
 	if err != nil {
 		return err
 	}
-	counts := n.counts
-	t := &tracker.Tracker{
-		Machine: cfg.Name, Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: openAdmitter{}, Counter: counts,
-		Stamper: keys.Stamper,
-	}
-	r := &responder.Responder{
-		Tracker: t, Counter: counts, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey, DataAddress: cfg.DataAddress,
-		Certificate: &tls.Config{GetCertificate: pair.Get, MinVersion: tls.VersionTLS13},
-		Handler:     &responder.Passer{Upstream: cfg.UpstreamAddress, Transport: &http.Transport{}},
-		Upstream:    cfg.UpstreamAddress, Recorder: rec, Newer: n.newer,
-	}
-	var stopped atomic.Bool
-	n.subscriber.Enforcers = []subscriber.Enforcer{t, r, counts}
-	n.describe = func(h *leaser.Heartbeat) {
-		h.Announcement = &leaser.Announcement{
-			Upstream: cfg.Upstream, Service: cfg.Service, Slots: cfg.Slots,
-			Weight:     registrar.Weight(cfg.Slots) * registrar.WeightPerSlot,
-			OldestFlow: t.Stats().Oldest, Draining: n.stopping.Load(),
-		}
-		if stopped.Load() {
-			h.Announcement.OldestFlow = 0
-		}
-	}
+	a := newAgent(cfg, keys, n)
+	a.responder.Certificate = &tls.Config{GetCertificate: pair.Get, MinVersion: tls.VersionTLS13}
+	a.responder.Recorder = rec
+	defer a.pool.Close()
+	defer a.claims.Close()
 	e, err := newExporter(cfg.Machine, func(now time.Time) error {
-		if _, ok := t.Self(); !ok {
+		if _, ok := a.tracker.Self(); !ok {
 			return errUnknownUpstream
 		}
 		return n.ready(now, n.subscriber.World.Revision())
@@ -78,10 +61,10 @@
 	if err != nil {
 		return err
 	}
-	if err := errors.Join(n.export(e, counts), exportFlows(e, t)); err != nil {
+	if err := errors.Join(n.export(e, a.counter), exportRequests(e, a.tracker, a.meter)); err != nil {
 		return err
 	}
-	if err := r.Run(); err != nil {
+	if err := a.responder.Run(); err != nil {
 		return err
 	}
 	// Heartbeats continue while the agent drains, because its lease must stay valid.
@@ -89,7 +72,8 @@
 	g.run(n.run)
 	g.run(reloadOnHangup(rec, keys, pair))
 	g.run(e.Run)
-	g.run(func(ctx context.Context) error { return expireFlows(ctx, t, r) })
+	g.run((&connector.Server{Address: cfg.ControlAddress, TLS: keys.Server, Claims: a.owner}).Run)
+	g.run(a.expire)
 	rec.Info(recorder.MachineStarted)
 	select {
 	case <-ctx.Done():
@@ -99,12 +83,13 @@
 	n.stopping.Store(true)
 	rec.Info(recorder.StopBegun)
 	n.heartbeatNow()
-	awaitNoNewFlows(g, t)
+	awaitNoNewFlows(g, a.tracker)
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(cfg.Drain))
 	defer cancel()
-	err = r.Shutdown(drain)
+	err = a.responder.Shutdown(drain, a.handler.InFlight)
+	sendFinalBatch(g, n, a.meter)
 	// Control learns that no flows are left here, so that chains leave this agent out at once.
-	stopped.Store(true)
+	a.stopped.Store(true)
 	n.lastHeartbeat(drain)
 	g.cancel(nil)
 	_ = g.wait()
@@ -122,7 +107,75 @@
 	}
 }
 
-func expireFlows(ctx context.Context, t *tracker.Tracker, r *responder.Responder) error {
+// agent holds the parts of one agent.
+type agent struct {
+	cfg       parser.Agent
+	node      *node
+	counter   *counter.Counter
+	meter     *burner.Meter
+	admission *admission
+	tracker   *tracker.Tracker
+	owner     *claimer.Owner
+	claims    *connector.Claims
+	pool      *responder.Pool
+	handler   *responder.Handler
+	responder *responder.Responder
+	// stopped is true once no flows are left at a planned stop.
+	stopped atomic.Bool
+}
+
+func newAgent(cfg parser.Agent, keys *loader.Material, n *node) *agent {
+	l := &limiter.Limiter{Slots: cfg.Slots}
+	l.Alarm = &alarm{limiter: l}
+	directory := &claimer.Directory{}
+	a := &agent{
+		cfg: cfg, node: n, counter: n.counts, meter: &burner.Meter{StartedAt: time.Now()},
+		admission: &admission{service: cfg.Service, upstream: cfg.Upstream, limiter: l, directory: directory},
+		owner:     &claimer.Owner{StartedAt: time.Now(), Directory: directory, Lease: n.subscriber},
+		pool:      &responder.Pool{Address: cfg.UpstreamAddress, Broken: func() { l.TurnCold(time.Now()) }},
+	}
+	a.claims = &connector.Claims{TLS: keys.Client, Machine: cfg.Name, Local: a.owner}
+	a.tracker = &tracker.Tracker{
+		Machine: cfg.Name, Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: l,
+		Counter: a.counter, Stamper: keys.Stamper,
+	}
+	var attempts atomic.Uint64
+	a.handler = &responder.Handler{
+		Service: cfg.Service, Customers: a.tracker, Pool: a.pool,
+		Dispatcher: &dispatcher.Dispatcher{
+			Clock: clock{}, Admission: l, Budget: &budgeter.Budgeter{}, Claims: a.claims, Directory: directory,
+			Lease: n.subscriber,
+			Attempts: func() claimer.Attempt {
+				return claimer.Attempt{Machine: cfg.Name, Incarnation: n.machine.Incarnation, Number: attempts.Add(1)}
+			},
+		},
+	}
+	a.responder = &responder.Responder{
+		Tracker: a.tracker, Counter: a.counter, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey,
+		DataAddress: cfg.DataAddress, Upstream: cfg.UpstreamAddress, Newer: n.newer,
+		Handler: &meteredHandler{next: a.handler, meter: a.meter, customers: a.tracker},
+	}
+	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, a.counter}
+	n.confirmBurn = a.meter.Confirm
+	n.describe = a.describe
+	return a
+}
+
+// describe completes a heartbeat.
+func (a *agent) describe(h *leaser.Heartbeat) {
+	h.Burn = a.meter.Batch(time.Now())
+	h.Announcement = &leaser.Announcement{
+		Upstream: a.cfg.Upstream, Service: a.cfg.Service, Slots: a.cfg.Slots,
+		Weight:     a.admission.limiter.Weight(time.Now()),
+		OldestFlow: a.tracker.Stats().Oldest, Draining: a.node.stopping.Load(),
+	}
+	if a.stopped.Load() {
+		h.Announcement.OldestFlow = 0
+	}
+}
+
+// expire forgets old flows and claims until ctx ends.
+func (a *agent) expire(ctx context.Context) error {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
@@ -130,8 +183,9 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			t.Expire(now)
-			r.Notify()
+			a.tracker.Expire(now)
+			a.owner.Expire(now)
+			a.responder.Notify()
 		}
 	}
 }
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -58,7 +59,9 @@
 	if err != nil {
 		return err
 	}
-	if err := exportControl(e, ledger.World, sessions); err != nil {
+	burns := newCollector(cfg)
+	report := burnReport(burns, ledger.World)
+	if err := errors.Join(exportControl(e, ledger.World, sessions), exportBurn(e, report)); err != nil {
 		return err
 	}
 	g := newGroup(ctx)
@@ -66,15 +69,15 @@
 	g.run(peers.Run)
 	g.run((&connector.Server{
 		Address: cfg.ControlAddress, TLS: keys.Server, Consensus: log,
-		Heartbeats: &granter.Granter{
+		Heartbeats: &burnCollector{collector: burns, next: &granter.Granter{
 			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: log,
 			Announcer: announcements, Reporter: faultReporter{rec},
-		},
+		}},
 		Collector: collector,
 	}).Run)
 	g.run((&administrator.Administrator{
 		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Collector: collector, Authority: log,
-		Membership: log, Recorder: rec,
+		Membership: log, Recorder: rec, Burn: report,
 	}).Run)
 	g.run(announcements.run)
 	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: log, Recorder: rec}).run)
--- a/internal/front/administrator/administrator.go
+++ b/internal/front/administrator/administrator.go
@@ -14,6 +14,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -54,6 +55,8 @@
 	// Membership is that of the control log.
 	Membership Membership
 	Recorder   *recorder.Recorder
+	// Burn returns the instance's report on service-level burn.
+	Burn func(now time.Time) burner.Report
 }
 
 // Run serves requests until ctx ends.
--- a/internal/front/administrator/openapi.go
+++ b/internal/front/administrator/openapi.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"regexp"
 	"strings"
+	"time"
 
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 )
@@ -93,6 +94,9 @@
 
 // of returns the schema of a type. Structs become named schemas.
 func (s *schemas) of(t reflect.Type) object {
+	if t == typeOf[time.Time]() {
+		return object{"type": "string", "format": "date-time"}
+	}
 	if t.Implements(textType) || reflect.PointerTo(t).Implements(textType) {
 		return object{"type": "string", "format": strings.ToLower(t.Name())}
 	}
@@ -101,8 +105,10 @@
 		return s.of(t.Elem())
 	case reflect.Struct:
 		return s.structure(t)
-	case reflect.Slice:
+	case reflect.Slice, reflect.Array:
 		return object{"type": "array", "items": s.of(t.Elem())}
+	case reflect.Float64:
+		return object{"type": "number"}
 	case reflect.Bool:
 		return object{"type": "boolean"}
 	case reflect.String:
