Give a forwarded proposal up when another member leads

Cause: a proposal on an open connection to a leader that freezes waited for its whole time limit of 5 s, although another leader was elected within 1 s. It is now reported as uncertain as soon as another leader is known, and the operator's resend is safe.

--- a/internal/control/driver/propose.go
+++ b/internal/control/driver/propose.go
@@ -70,7 +70,7 @@
 		case known && leader.ID == d.store.id:
 			result, err = d.ProposeHere(ctx, p)
 		case known:
-			result, err = d.Forwarder.Forward(ctx, leader, p)
+			result, err = d.forward(ctx, leader, p)
 		}
 		if err == nil || !eris.Is(err, replicator.ErrNotLeader) && !eris.Is(err, replicator.ErrDropped) {
 			return result, err
@@ -86,6 +86,29 @@
 	}
 }
 
+// forward passes a proposal on. It gives up as soon as another member leads, because a leader that was frozen or cut off does
+// not answer. The outcome is uncertain then.
+func (d *Driver) forward(ctx context.Context, leader replicator.Member, p replicator.Proposed) ([]byte, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		ticker := time.NewTicker(retryInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				if now, known := d.replica.Leader(); known && now.ID != leader.ID {
+					return
+				}
+			}
+		}
+	}()
+	return d.Forwarder.Forward(ctx, leader, p)
+}
+
 // ProposeHere writes an entry if this member is the leader, and returns replicator.ErrNotLeader otherwise.
 func (d *Driver) ProposeHere(ctx context.Context, p replicator.Proposed) ([]byte, error) {
 	token, outcome := d.waiters.add()
