Date a proof to what its instance knew, and test an upstream that is announced twice

A follower that makes a proof may vouch for a configuration that is some milliseconds old. The proof now holds for the earlier of the moment before the question and the moment up to which the instance knows everything that was confirmed.

TestUpstreamAnnouncedTwice fails on a variant that lets any machine take over a name ("the second announcer is not refused").

--- a/internal/cli/runner/intent_test.go
+++ b/internal/cli/runner/intent_test.go
@@ -190,3 +190,37 @@
 	z := e.Status().Zones[1]
 	require.True(t, z.Withdrawn)
 }
+
+// TestUpstreamAnnouncedTwice guards against a second machine that takes over the name of a live upstream, and against a name that
+// stays taken after its machine has gone.
+func TestUpstreamAnnouncedTwice(t *testing.T) {
+	zones := []registrar.ZoneName{"johor-a", "johor-b"}
+	d := deployer.New(t, deployer.Options{
+		Controls: 3, Entries: 1, Region: "johor", Zones: zones,
+		Services: []deployer.Service{{Name: "telemetry", Transport: registrar.TransportUDP, Slots: 2, Zones: zones}},
+	})
+	d.StartAll()
+	d.Configure("cust")
+	d.Process("agent-telemetry-1").Kill()
+	s := d.AgentSettings(0, 1)
+	s["upstream"] = "telemetry-0"
+	d.Start("agent", "agent-telemetry-1", s)
+	first := func() registrar.Upstream {
+		for _, u := range d.Status().Upstream {
+			if u.Name == "telemetry-0" {
+				return u
+			}
+		}
+		return registrar.Upstream{}
+	}
+	require.Eventually(t, func() bool {
+		return strings.Contains(d.Log("agent-telemetry-1"), `is announced by machine \"agent-telemetry-0\"`)
+	}, deployer.WaitTime, 50*time.Millisecond, "the second announcer is not refused")
+	before := first()
+	require.Equal(t, registrar.MachineName("agent-telemetry-0"), before.Machine)
+	d.Process("agent-telemetry-0").Kill()
+	require.Eventually(t, func() bool {
+		u := first()
+		return u.Machine == "agent-telemetry-1" && !u.Silent && u.ID == before.ID && u.Zone == "johor-b"
+	}, 2*deployer.WaitTime, 100*time.Millisecond, "the upstream does not move to another machine")
+}
--- a/internal/fake/measurer/intent_test.go
+++ b/internal/fake/measurer/intent_test.go
@@ -234,7 +234,7 @@
 func measureProof(t *testing.T, _ uint64) {
 	zones := []registrar.ZoneName{"johor-a", "johor-b", "johor-c"}
 	d := deployer.New(t, deployer.Options{
-		Controls: 1, Entries: 4, Region: "johor", Zones: zones,
+		Controls: 3, Entries: 4, Region: "johor", Zones: zones,
 		Services: []deployer.Service{{
 			Name: "telemetry", Transport: registrar.TransportUDP, Slots: 2, Zones: append(slices.Clone(zones), zones...),
 		}},
@@ -276,6 +276,6 @@
 		time.Sleep(2 * time.Second)
 	}
 	slices.Sort(times)
-	t.Logf("%d cuts, 10 nodes: proof after %s at least, %s in the median, %s at most", rounds, times[0].Round(time.Millisecond),
+	t.Logf("%d cuts, 10 nodes, 3 control instances: proof after %s at least, %s in the median, %s at most", rounds, times[0].Round(time.Millisecond),
 		times[rounds/2].Round(time.Millisecond), times[rounds-1].Round(time.Millisecond))
 }
--- a/internal/front/administrator/customers.go
+++ b/internal/front/administrator/customers.go
@@ -37,16 +37,21 @@
 	name := registrar.CustomerName(c.request.PathValue("name"))
 	// The proof holds for the moment before the question: whatever was granted or reported until then is in the answers. A later
 	// clock reading would take leases for expired that were renewed while this process did not run.
-	now := time.Now()
+	at := time.Now()
 	instances := a.Collector.Collect(c.request.Context(), connector.Question{Customer: name})
-	_, vouched := a.Authority.Vouch(time.Now())
+	// The configuration is read after the instance has vouched for it, so it has all that was confirmed until known.
+	now := time.Now()
+	age, vouched := a.Authority.Vouch(now)
+	if known := now.Add(-age); vouched && known.Before(at) {
+		at = known
+	}
 	// Customer and machines come from one copy of the configuration.
 	st := a.Ledger.World.State()
 	for _, customer := range st.Customers {
 		if customer.Name != name {
 			continue
 		}
-		p := leaser.Prove(now, leaser.Case{
+		p := leaser.Prove(at, leaser.Case{
 			Customer: customer, Revision: st.Revision, Vouched: vouched, Machines: st.Machines, Instances: instances,
 		})
 		a.Recorder.Info(recorder.ProofMade, zap.String("customer", string(name)), zap.String("verdict", string(p.Verdict)),
