--- a/internal/control/replicator/progress.go
+++ b/internal/control/replicator/progress.go
@@ -14,6 +14,8 @@
 	commit Index
 	// heardAt is when the peer answered last.
 	heardAt time.Time
+	// addedAt is when the leader began to send to the peer.
+	addedAt time.Time
 	// readAt is the newest clock reading of the peer.
 	readAt Reading
 	// sending is the snapshot on its way to the peer, or nil.
@@ -30,13 +32,13 @@
 
 // ProgressStatus is a copy for reports.
 type ProgressStatus struct {
-	Match   Index
-	HeardAt time.Time
+	Match            Index
+	HeardAt, AddedAt time.Time
 }
 
 // Status returns a copy for reports.
 func (p *Progress) Status() ProgressStatus {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return ProgressStatus{Match: p.match, HeardAt: p.heardAt}
+	return ProgressStatus{Match: p.match, HeardAt: p.heardAt, AddedAt: p.addedAt}
 }
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -34,6 +34,8 @@
 	Collector *Collector
 	// Consensus takes messages of other control instances; nil on machines that are none.
 	Consensus ConsensusHandler
+	// Claims answers the claims of other agents; nil on machines that do not.
+	Claims ClaimHandler
 }
 
 // HeartbeatHandler answers heartbeats.
@@ -54,15 +56,21 @@
 			return eris.Wrap(err, "register consensus service")
 		}
 	}
+	if s.Claims != nil {
+		if err := messenger.DRPCRegisterClaims(mux, &claimService{s.Claims}); err != nil {
+			return eris.Wrap(err, "register claims service")
+		}
+	}
 	cfg := &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 		next := s.TLS()
 		next.VerifyConnection = verifyMachine
 		return next, nil
 	}}
-	ln, err := tls.Listen("tcp", s.Address.String(), cfg)
+	raw, err := net.Listen("tcp", s.Address.String())
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Address)
 	}
+	ln := tls.NewListener(&watchedListener{Listener: raw}, cfg)
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	return serve(ctx, server, ln)
 }
