--- a/internal/fake/measurer/intent_test.go
+++ b/internal/fake/measurer/intent_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// run sends heartbeats from all nodes for a time and returns the bytes of all of them.
-func run(all []*beater, d time.Duration) (total uint64, failures int) {
+// beatAll sends heartbeats from all nodes for a time and returns the bytes of all of them.
+func beatAll(all []*beater, d time.Duration) (total uint64, failures int) {
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
 	before := bytesOf(all)
@@ -171,8 +171,8 @@
 	for _, customers := range []int{0, 4, 20, 100} {
 		d := controlOnly(t)
 		all := newBeaters(t, d, nodes, customers, seed)
-		run(all, 2*time.Second)
-		steady, failures := run(all, span)
+		beatAll(all, 2*time.Second)
+		steady, failures := beatAll(all, span)
 		require.Zero(t, failures)
 		perNode := float64(steady) / nodes / span.Seconds()
 		const changes = 50
@@ -186,7 +186,7 @@
 				time.Sleep(span / changes / 2)
 			}
 		}()
-		changed, failures := run(all, span)
+		changed, failures := beatAll(all, span)
 		<-done
 		require.Zero(t, failures)
 		t.Logf("%3d active customers: %.0f B/s a node; %d changes: %.0f B a change and node", customers, perNode, changes,
@@ -194,8 +194,8 @@
 	}
 }
 
-// processorTime returns the processor time that a process has used.
-func processorTime(t *testing.T, pid int) time.Duration {
+// processorTimeOf returns the processor time that a process has used.
+func processorTimeOf(t *testing.T, pid int) time.Duration {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	require.NoError(t, err)
 	_, rest, _ := strings.Cut(string(b), ") ")
@@ -215,14 +215,14 @@
 		d := controlOnly(t)
 		all := newBeaters(t, d, n, 4, seed)
 		before := d.Status().Revision
-		run(all, 3*time.Second)
+		beatAll(all, 3*time.Second)
 		entries := d.Status().Revision - before
 		pid := d.Process("control-0").PID()
-		used := processorTime(t, pid)
+		used := processorTimeOf(t, pid)
 		beats := beatsOf(all)
-		bytes, failures := run(all, span)
+		bytes, failures := beatAll(all, span)
 		beats = beatsOf(all) - beats
-		used = processorTime(t, pid) - used
+		used = processorTimeOf(t, pid) - used
 		t.Logf("%4d sessions: %.1f%% of a core, %.0f us a heartbeat, %d heartbeats a second, %.0f B/s a node, "+
 			"%d failures; announced in %d log entries", n, 100*used.Seconds()/span.Seconds(),
 			float64(used.Microseconds())/float64(beats), beats/int(span.Seconds()), float64(bytes)/float64(n)/span.Seconds(), failures, entries)
