--- a/internal/control/replicator/membership.go
+++ b/internal/control/replicator/membership.go
@@ -16,6 +16,8 @@
 	maxVoters = 9
 	// caughtUp is how many entries a learner may lack when it becomes a voter.
 	caughtUp = 64
+	// joinTime is how long a returning learner may be silent before it loses its place.
+	joinTime = 5 * time.Second
 )
 
 // MemberStatus describes a member for operators.
@@ -99,11 +101,10 @@
 	if len(r.log.Voters()) >= maxVoters {
 		return eris.Wrapf(ErrMembership, "there are %d voters", maxVoters)
 	}
-	p := r.peer(m.ID)
-	if p == nil {
+	if r.peer(m.ID) == nil {
 		return eris.Wrapf(ErrMembership, "%q has not joined", m.Name)
 	}
-	if s := p.Status(); s.Match+caughtUp < r.log.Last().Index || now.Sub(s.HeardAt) > elector.MinElection {
+	if !r.hasCaughtUp(now, m) {
 		return eris.Wrapf(ErrMembership, "%q has not caught up", m.Name)
 	}
 	return nil
@@ -144,32 +145,52 @@
 	}
 	members, _ := r.log.Members()
 	for i, m := range members {
-		if !m.Returning {
-			continue
-		}
-		next := slices.Clone(members)
-		lost := slices.IndexFunc(next, func(k Member) bool { return k.Voter && k.Name == m.Name })
-		if lost >= 0 {
-			if r.hasCaughtUp(now, m) {
-				r.setMembers(slices.Delete(next, lost, lost+1))
-			}
+		if m.Returning && r.repairOne(now, members, i) {
 			return
 		}
-		if r.promotable(now, m) == nil {
-			next[i].Voter, next[i].Returning = true, false
-			r.setMembers(next)
-		}
-		return
 	}
 }
 
+// repairOne takes the next step for the returning learner at index i, if one is due.
+func (r *Replica) repairOne(now time.Time, members Members, i int) bool {
+	next := slices.Clone(members)
+	lost := slices.IndexFunc(next, func(k Member) bool { return k.Voter && k.Name == members[i].Name })
+	switch {
+	case lost >= 0 && r.gone(now, members[i]):
+		next = slices.Delete(next, i, i+1)
+	case !r.hasCaughtUp(now, members[i]):
+		return false
+	case lost >= 0:
+		next = slices.Delete(next, lost, lost+1)
+	case len(r.log.Voters()) >= maxVoters:
+		return false
+	default:
+		next[i].Voter, next[i].Returning = true, false
+	}
+	r.setMembers(next)
+	return true
+}
+
+// gone reports whether a learner has not answered for joinTime, for example because a late request of an identity that is
+// gone has brought it in. One that still exists asks to join again, as long as the log has its name.
+func (r *Replica) gone(now time.Time, m Member) bool {
+	p := r.peer(m.ID)
+	if p == nil {
+		return false
+	}
+	s := p.Status()
+	return now.Sub(s.AddedAt) > joinTime && now.Sub(s.HeardAt) > joinTime
+}
+
+// hasCaughtUp reports whether a member answers and has nearly all entries, that which brought it in among them.
 func (r *Replica) hasCaughtUp(now time.Time, m Member) bool {
 	p := r.peer(m.ID)
 	if p == nil {
 		return false
 	}
+	_, at := r.log.Members()
 	s := p.Status()
-	return s.Match+caughtUp >= r.log.Last().Index && now.Sub(s.HeardAt) <= elector.MinElection
+	return s.Match >= at && s.Match+caughtUp >= r.log.Last().Index && now.Sub(s.HeardAt) <= elector.MinElection
 }
 
 // leaveIfRemoved makes a leader step down once its removal is committed.
--- a/internal/fake/deployer/deployer.go
+++ b/internal/fake/deployer/deployer.go
@@ -376,8 +376,31 @@
 	<-p.done
 }
 
-// Freeze stops the process from running until Thaw.
-func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+// Freeze stops the process from running until Thaw. It returns once every thread has stopped: the signal alone lets a busy
+// thread handle one more datagram.
+func (p *Process) Freeze() {
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	for deadline := time.Now().Add(stopTime); time.Now().Before(deadline) && !p.frozen(); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// frozen reports whether all threads are in the stopped state, as proc(5) describes it.
+func (p *Process) frozen() bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+	if err != nil {
+		return false
+	}
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		// The state follows the command name, which ends with the last parenthesis.
+		at := bytes.LastIndexByte(b, ')')
+		if err != nil || at < 0 || !bytes.HasPrefix(b[at+1:], []byte(" T")) {
+			return false
+		}
+	}
+	return len(files) > 0
+}
 
 // Thaw lets a frozen process run again.
 func (p *Process) Thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
