--- a/internal/fake/measurer/product_test.go
+++ b/internal/fake/measurer/product_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -39,6 +40,8 @@
 	// callers, requests and failed are guarded by mu.
 	callers          []*deployer.Caller
 	requests, failed int
+	// reasons counts the failures by status and the first line of the answer, or by error. It is guarded by mu.
+	reasons map[string]int
 }
 
 func newEstate(t *testing.T, seed uint64) *estate {
@@ -52,7 +55,7 @@
 	})
 	d.Backends(0, nil)
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &estate{Deployment: d, fabric: d.Fabric(0, seed), ctx: ctx}
+	e := &estate{reasons: map[string]int{}, Deployment: d, fabric: d.Fabric(0, seed), ctx: ctx}
 	d.StartAll()
 	d.Configure("estate")
 	t.Cleanup(func() { cancel(); e.wg.Wait() })
@@ -102,6 +105,8 @@
 		e.requests++
 		if err != nil || a.Status != http.StatusOK {
 			e.failed++
+			line, _, _ := strings.Cut(string(a.Body), "\n")
+			e.reasons[fmt.Sprintf("%d %s %v", a.Status, line, err)]++
 		}
 		e.mu.Unlock()
 	}
@@ -159,6 +164,11 @@
 	time.Sleep(requestPause)
 	again, all, bad = e.broken()
 	t.Logf("4 agents in %.1f s: %d connections opened again; %d requests, %d failed", time.Since(began).Seconds(), again-redials, all-requests, bad-failed)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for reason, n := range e.reasons {
+		t.Logf("%d failed: %s", n, reason)
+	}
 }
 
 // measureFootprint reads memory and processor time of one process of each role while the number of flows grows.
