Keep 16 generations and send notices to the agent that asked

With weights that persist, the flow test set twelve generations within 240 ms, less than a heartbeat interval. Two causes: the bound of 8, and a notice that went to the owner by the holder's own, older configuration, which was the holder itself. It now goes to the agent that had the datagram first, and 16 generations are kept. Ruled out: lost notices (no loss in that case).

More than 16 changes of one service within 500 ms can still break a plain UDP flow that is quiet meanwhile.

--- a/internal/route/tracker/notice.go
+++ b/internal/route/tracker/notice.go
@@ -45,18 +45,18 @@
 		return netip.AddrPort{}, carrier.Header{}, false
 	}
 	f := registrar.Flow{Caller: caller, Service: t.route.Service.Address}
-	return t.noticeLocked(f)
+	chain := t.route.Chain(balancer.BucketOf(f))
+	if chain.Len() == 0 {
+		return netip.AddrPort{}, carrier.Header{}, false
+	}
+	return t.noticeTo(chain.At(0), f)
 }
 
-// noticeLocked returns a notice to the owner of a flow's bucket. It returns false if that is this agent.
-func (t *Tracker) noticeLocked(f registrar.Flow) (netip.AddrPort, carrier.Header, bool) {
+// noticeTo returns a notice about a flow to another agent. It returns false if that is this agent or cannot be reached.
+func (t *Tracker) noticeTo(to registrar.UpstreamID, f registrar.Flow) (netip.AddrPort, carrier.Header, bool) {
 	h := carrier.Header{Kind: carrier.Notice, Service: t.route.Service.ID, Flow: f}
-	chain := t.route.Chain(balancer.BucketOf(f))
-	if chain.Len() == 0 || chain.At(0) == t.self.ID {
-		return netip.AddrPort{}, h, false
-	}
-	u, ok := t.route.Upstream(chain.At(0))
-	if !ok || !u.DataAddress.IsValid() {
+	u, ok := t.route.Upstream(to)
+	if !ok || to == t.self.ID || !u.DataAddress.IsValid() || u.ZoneWithdrawn || u.Silent {
 		return netip.AddrPort{}, h, false
 	}
 	h.Target, h.Revision = u.ID, t.route.Revision
--- a/internal/route/tracker/place.go
+++ b/internal/route/tracker/place.go
@@ -71,8 +71,9 @@
 	s.put(endpointOf(h.Flow.Caller), r)
 	v := Verdict{Action: Deliver}
 	if h.Hops() > 0 && !h.Has(carrier.Redirected) && t.route.Service.Transport == registrar.TransportUDP {
-		// The datagram had to be passed along the chain, so the owner does not know where the flow is.
-		v.To, v.Header, v.Notify = t.noticeLocked(h.Flow)
+		// The datagram had to be passed along the chain, so the agent that got it first does not know where the flow is. It may
+		// have a newer configuration than this agent, in which case only it knows that it is the owner.
+		v.To, v.Header, v.Notify = t.noticeTo(h.Asked(0), h.Flow)
 	}
 	return v
 }
--- a/internal/world/registrar/world.go
+++ b/internal/world/registrar/world.go
@@ -23,8 +23,10 @@
 	ErrInvalid = eris.New("invalid change")
 )
 
-// maxGenerations bounds the generations kept per service. Chains longer than the hop limit could not be followed anyway.
-const maxGenerations = 8
+// maxGenerations bounds the generations kept per service. An agent has to hear of a generation in which it owns fewer
+// buckets before its own generation falls out, so that it can send notices about its flows. With 8, twelve changes within
+// one heartbeat interval of 500 ms broke plain UDP flows.
+const maxGenerations = 16
 
 const serviceShards = 16
 
