--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -69,12 +69,15 @@
 		}
 		return Outcome{}
 	}
-	if now.Before(e.electAt) {
+	voters := e.Electorate.Voters()
+	// A sole voter has nobody to wait for.
+	sole := len(voters) == 1 && voters[0] == e.Self
+	if now.Before(e.electAt) && !sole {
 		return Outcome{}
 	}
 	e.leader = 0
 	e.delay(now)
-	if !slices.Contains(e.Electorate.Voters(), e.Self) {
+	if !slices.Contains(voters, e.Self) {
 		e.role = Follower
 		return Outcome{}
 	}
--- a/internal/front/connector/client.go
+++ b/internal/front/connector/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -25,6 +24,8 @@
 	Address netip.AddrPort
 	// TLS returns the configuration for a new connection.
 	TLS func() *tls.Config
+	// Traffic counts the bytes of all connections of the client.
+	Traffic Traffic
 
 	// mu is held during a call, because a drpc connection carries one call at a time.
 	mu   sync.Mutex
@@ -40,18 +41,10 @@
 			return c.conn, nil
 		}
 	}
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", c.Address.String())
+	secure, err := c.dial(ctx)
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", c.Address)
 	}
-	cfg := c.TLS().Clone()
-	cfg.ServerName = c.Address.Addr().String()
-	secure := tls.Client(&watchedConn{Conn: raw, limit: clientSilence}, cfg)
-	if err := secure.HandshakeContext(ctx); err != nil {
-		_ = raw.Close()
-		return nil, eris.Wrapf(err, "connect to %s", c.Address)
-	}
 	c.conn = drpcconn.NewWithOptions(secure, drpcconn.Options{Manager: managerOptions()})
 	return c.conn, nil
 }
