--- a/internal/fake/measurer/datapath_test.go
+++ b/internal/fake/measurer/datapath_test.go
@@ -47,15 +47,15 @@
 	{"telon", "ec-sierra", []registrar.ZoneName{"ec-sierra-a", "ec-sierra-b", "ec-sierra-c", "ec-sierra-d"}, []registrar.ServiceName{"reservas", "boleteria"}, []int{7, 4}, 3},
 }
 
-// run is a deployment at a user's size: the first service speaks QUIC and the second one plain UDP.
-type run struct {
+// userRun is a deployment at a user's size: the first service speaks QUIC and the second one plain UDP.
+type userRun struct {
 	*deployer.Deployment
 	t        *testing.T
 	backends []*backend.Backend
 	fabrics  []interface{ SetEntries([]netip.AddrPort) }
 }
 
-func newRun(t *testing.T, u user, seed uint64) *run {
+func newRun(t *testing.T, u user, seed uint64) *userRun {
 	o := deployer.Options{Controls: 1, Entries: 3, Region: u.region, Zones: u.zones, Faulty: true}
 	for i, name := range u.services {
 		s := deployer.Service{Name: name, Slots: u.slots, Transport: []registrar.Transport{registrar.TransportQUIC, registrar.TransportUDP}[i]}
@@ -65,7 +65,7 @@
 		o.Services = append(o.Services, s)
 	}
 	d := deployer.New(t, o)
-	r := &run{Deployment: d, t: t, backends: d.Backends(0, nil)}
+	r := &userRun{Deployment: d, t: t, backends: d.Backends(0, nil)}
 	d.Echoes(1)
 	r.fabrics = append(r.fabrics, d.Fabric(0, seed), d.Fabric(1, seed+1))
 	d.StartAll()
@@ -73,7 +73,7 @@
 	return r
 }
 
-func (r *run) spray(entries ...int) {
+func (r *userRun) spray(entries ...int) {
 	for service, f := range r.fabrics {
 		var to []netip.AddrPort
 		for _, e := range entries {
@@ -83,13 +83,13 @@
 	}
 }
 
-func (r *run) each(kind planner.IntentKind, i int, w registrar.Weight) {
+func (r *userRun) each(kind planner.IntentKind, i int, w registrar.Weight) {
 	for s := range r.Services {
 		r.Carry(planner.Intent{Kind: kind, Upstream: &registrar.Upstream{Name: r.UpstreamName(s, i), Weight: w}})
 	}
 }
 
-func (r *run) zone(kind planner.IntentKind, z registrar.ZoneName) {
+func (r *userRun) zone(kind planner.IntentKind, z registrar.ZoneName) {
 	r.Carry(planner.Intent{Kind: kind, Zone: &registrar.Zone{Name: z}})
 }
 
--- a/internal/fake/measurer/throughput_test.go
+++ b/internal/fake/measurer/throughput_test.go
@@ -6,8 +6,6 @@
 	"os"
 	"os/exec"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -30,8 +28,6 @@
 	throughputTime = 2 * time.Second
 	senders        = 8
 	window         = 32
-	// clockTick is the unit of processor time in /proc/PID/stat on Linux.
-	clockTick = 10 * time.Millisecond
 )
 
 // TestMain runs the bare echo if the environment asks for it.
@@ -53,18 +49,6 @@
 	select {}
 }
 
-// processorTime returns the processor time that a process has used.
-func processorTime(t *testing.T, pid int) time.Duration {
-	b, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
-	require.NoError(t, err)
-	fields := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
-	user, err := strconv.Atoi(fields[11])
-	require.NoError(t, err)
-	system, err := strconv.Atoi(fields[12])
-	require.NoError(t, err)
-	return time.Duration(user+system) * clockTick
-}
-
 // load keeps a window of datagrams in flight from each sender and returns the number of answers.
 func load(t *testing.T, from func(i int) netip.Addr, to netip.AddrPort, size int) int64 {
 	var answers atomic.Int64
