Renew only the routes of services that a revision has changed

Cause: an entry rebuilt the routes of all services for each revision, 20 ms at 7,800 upstreams.

Entries compare agents' revisions with the newest one that they enforce, since routes keep older ones.

--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -64,13 +64,16 @@
 // Revision returns the newest revision that all routes enforce.
 func (f *Forwarder) Revision() registrar.Revision { return registrar.Revision(f.revision.Load()) }
 
-// Update replaces all routes by those of the configuration.
+// Update replaces the routes of services that have changed by those of the configuration.
 func (f *Forwarder) Update(w *registrar.World) {
 	at := w.Revision()
 	live := map[netip.AddrPort]bool{}
 	for _, s := range w.Services() {
+		live[s.Address] = true
+		if f.current(s) >= w.ChangedAt(s.Name) {
+			continue
+		}
 		if v, ok := w.View(s.Name); ok {
-			live[s.Address] = true
 			f.replace(v, at)
 		}
 	}
@@ -85,9 +88,21 @@
 		s.mu.Unlock()
 	}
 	f.revision.Store(uint64(at))
-	for _, u := range w.Upstreams() {
-		f.newestUpstream.Store(max(f.newestUpstream.Load(), uint32(u.ID)))
+	f.newestUpstream.Store(max(f.newestUpstream.Load(), uint32(w.NewestUpstream())))
+}
+
+// enforced returns the newest revision that a route agrees with. Routes that a revision leaves alone keep their own.
+func (f *Forwarder) enforced(r *entryRoute) registrar.Revision { return max(r.Revision, f.Revision()) }
+
+// current returns the revision of the route that is in force for a service; 0 without one.
+func (f *Forwarder) current(service registrar.Service) registrar.Revision {
+	s := f.shard(service.Address)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if r := s.routes[service.Address]; r != nil && r.Service.ID == service.ID {
+		return r.Revision
 	}
+	return 0
 }
 
 func (f *Forwarder) replace(v registrar.ServiceView, at registrar.Revision) {
@@ -169,7 +184,7 @@
 	}
 	customer.Pass(now)
 	*h = carrier.Header{
-		Kind: carrier.Forward, Flags: flags, Service: r.Service.ID, Target: target, Revision: r.Revision, Flow: flow,
+		Kind: carrier.Forward, Flags: flags, Service: r.Service.ID, Target: target, Revision: f.enforced(r), Flow: flow,
 		Entry: f.Entry,
 	}
 	return u.DataAddress, carrier.Passed
@@ -236,7 +251,7 @@
 	}
 	// An agent with a newer configuration may speak for an upstream that this entry has not heard of. The service id, which
 	// is never reused, still ties the answer to the service address.
-	if u, ok := r.Upstream(h.Target); !ok && h.Revision <= r.Revision {
+	if u, ok := r.Upstream(h.Target); !ok && h.Revision <= f.enforced(r) {
 		return carrier.DropWrongService
 	} else if u.ZoneWithdrawn {
 		return carrier.DropZoneWithdrawn
--- a/internal/world/registrar/apply.go
+++ b/internal/world/registrar/apply.go
@@ -61,6 +61,7 @@
 	for i := range w.services {
 		w.renewGenerations(&w.services[i], u.Revision)
 	}
+	w.markChanged(u.Revision, u.Changes)
 	return nil
 }
 
@@ -329,6 +330,7 @@
 		}
 		s.Generations = generations
 		shard.services[name] = s
+		shard.changedAt[name] = at
 	}
 }
 
--- a/internal/world/registrar/world.go
+++ b/internal/world/registrar/world.go
@@ -36,6 +36,8 @@
 	services  map[ServiceName]Service
 	upstreams map[UpstreamName]Upstream
 	contracts map[ContractName]Contract
+	// changedAt holds the newest revision that changed the View of a service.
+	changedAt map[ServiceName]Revision
 }
 
 // placeShard holds the objects that services refer to.
@@ -78,6 +80,7 @@
 		s.services = map[ServiceName]Service{}
 		s.upstreams = map[UpstreamName]Upstream{}
 		s.contracts = map[ContractName]Contract{}
+		s.changedAt = map[ServiceName]Revision{}
 	}
 	w.places.zones = map[ZoneName]Zone{}
 	w.places.customers = map[CustomerName]Customer{}
@@ -207,6 +210,22 @@
 	return sortedValues(w.machines.machines)
 }
 
+// NewestUpstream returns the highest upstream id that has been assigned; 0 before the first one.
+func (w *World) NewestUpstream() UpstreamID {
+	w.places.mu.RLock()
+	defer w.places.mu.RUnlock()
+	return w.nextUpstreamID - 1
+}
+
+// ChangedAt returns the newest revision that changed the View of a service. Nodes skip the services that a revision left
+// alone: at 650 services, renewing all of them took 20 ms for each change.
+func (w *World) ChangedAt(name ServiceName) Revision {
+	s := w.shard(name)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changedAt[name]
+}
+
 // ServiceView is a service with all that routing to it needs.
 type ServiceView struct {
 	Service
@@ -326,6 +345,7 @@
 	}
 	for _, s := range st.Services {
 		w.shard(s.Name).services[s.Name] = s
+		w.shard(s.Name).changedAt[s.Name] = st.Revision
 	}
 	for _, u := range st.Upstreams {
 		w.shard(u.Service).upstreams[u.Name] = u
