--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -66,10 +66,11 @@
 		next.VerifyConnection = verifyMachine
 		return next, nil
 	}}
-	ln, err := tls.Listen("tcp", s.Address.String(), cfg)
+	raw, err := net.Listen("tcp", s.Address.String())
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Address)
 	}
+	ln := tls.NewListener(&watchedListener{Listener: raw}, cfg)
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	return serve(ctx, server, ln)
 }
