--- a/internal/fake/deployer/deployer.go
+++ b/internal/fake/deployer/deployer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io/fs"
 	"maps"
 	"net/netip"
 	"os"
@@ -20,6 +21,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/peridotstage/peridotstage/internal/fake/faulter"
 	"github.com/peridotstage/peridotstage/internal/secret/issuer"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -27,7 +29,9 @@
 
 // Ports that machines use on addresses of their own.
 const (
-	controlPort  = 7000
+	controlPort = 7000
+	// faultyPort is the announced data port of a machine behind a fault proxy.
+	faultyPort   = 7102
 	apiPort      = 7001
 	dataPort     = 7002
 	metricsPort  = 7003
@@ -57,6 +61,8 @@
 	Region   registrar.RegionName
 	Zones    []registrar.ZoneName
 	Services []Service
+	// Faulty puts fault proxies in front of the data address of every entry and agent and between every node and control.
+	Faulty bool
 }
 
 // Deployment is a set of running processes. Its processes end with the test.
@@ -68,6 +74,9 @@
 	block [2]byte
 	mu    sync.Mutex
 	procs map[string]*Process
+	links map[string]*faulter.Proxy
+	// streams are keyed by node name; each has one for each control instance.
+	streams map[string][]*faulter.Stream
 }
 
 // Process is one running process.
@@ -88,19 +97,36 @@
 
 // build compiles the command once per test binary.
 func build() (string, error) {
-	buildOnce.Do(func() {
-		dir, err := os.MkdirTemp("", "peridotstage-bin")
-		if err != nil {
-			buildErr = err
-			return
-		}
-		binary = filepath.Join(dir, "peridotstage")
-		out, err := exec.Command("go", "build", "-o", binary, "github.com/peridotstage/peridotstage").CombinedOutput()
-		if err != nil {
-			buildErr = fmt.Errorf("build: %w: %s", err, out)
+	buildOnce.Do(func() { binary, buildErr = compile() })
+	return binary, buildErr
+}
+
+func compile() (string, error) {
+	const module = "github.com/peridotstage/peridotstage"
+	root, err := exec.Command("go", "list", "-m", "-f", "{{.Dir}}", module).Output()
+	if err != nil {
+		return "", fmt.Errorf("find module: %w", err)
+	}
+	// Go caches the result of a test by the files that it looks at. The command is compiled by another process, so its
+	// sources are looked at here.
+	err = filepath.WalkDir(filepath.Join(strings.TrimSpace(string(root)), "internal"), func(path string, _ fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, ".go") {
+			_, err = os.Stat(path)
 		}
+		return err
 	})
-	return binary, buildErr
+	if err != nil {
+		return "", fmt.Errorf("look at sources: %w", err)
+	}
+	dir, err := os.MkdirTemp("", "peridotstage-bin")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "peridotstage")
+	if out, err := exec.Command("go", "build", "-o", path, module).CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return path, nil
 }
 
 // New prepares a deployment without starting anything.
@@ -108,7 +134,7 @@
 	t.Helper()
 	_, err := build()
 	require.NoError(t, err)
-	d := &Deployment{Options: o, t: t, Folder: t.TempDir(), procs: map[string]*Process{}}
+	d := &Deployment{Options: o, t: t, Folder: t.TempDir(), procs: map[string]*Process{}, links: map[string]*faulter.Proxy{}, streams: map[string][]*faulter.Stream{}}
 	// Test binaries run side by side, so the process id separates their addresses.
 	n := uint32(os.Getpid())*7 + blocks.Add(1)
 	d.block = [2]byte{byte(1 + n/120%250), byte(2 * (n % 120))}
@@ -225,6 +251,9 @@
 		control = append(control, netip.AddrPortFrom(d.ControlAddr(i), controlPort))
 	}
 	s["control"] = control
+	if d.Faulty {
+		d.addFaults(s, name, a, control)
+	}
 	return s
 }
 
--- a/internal/fake/measurer/intent_test.go
+++ b/internal/fake/measurer/intent_test.go
@@ -6,11 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -39,8 +36,6 @@
 	beatInterval = 500 * time.Millisecond
 	beatTime     = 5 * time.Second
 	controlPort  = 7000
-	// tickTime is the unit of processor time in /proc.
-	tickTime = 10 * time.Millisecond
 )
 
 // beater is a node that only sends heartbeats.
@@ -117,8 +112,8 @@
 	}
 }
 
-// run sends heartbeats from all nodes for a time and returns the bytes of all of them.
-func run(all []*beater, d time.Duration) (total uint64, failures int) {
+// beatAll sends heartbeats from all nodes for a time and returns the bytes of all of them.
+func beatAll(all []*beater, d time.Duration) (total uint64, failures int) {
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
 	before := bytesOf(all)
@@ -171,8 +166,8 @@
 	for _, customers := range []int{0, 4, 20, 100} {
 		d := controlOnly(t)
 		all := newBeaters(t, d, nodes, customers, seed)
-		run(all, 2*time.Second)
-		steady, failures := run(all, span)
+		beatAll(all, 2*time.Second)
+		steady, failures := beatAll(all, span)
 		require.Zero(t, failures)
 		perNode := float64(steady) / nodes / span.Seconds()
 		const changes = 50
@@ -186,7 +181,7 @@
 				time.Sleep(span / changes / 2)
 			}
 		}()
-		changed, failures := run(all, span)
+		changed, failures := beatAll(all, span)
 		<-done
 		require.Zero(t, failures)
 		t.Logf("%3d active customers: %.0f B/s a node; %d changes: %.0f B a change and node", customers, perNode, changes,
@@ -194,19 +189,6 @@
 	}
 }
 
-// processorTime returns the processor time that a process has used.
-func processorTime(t *testing.T, pid int) time.Duration {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	require.NoError(t, err)
-	_, rest, _ := strings.Cut(string(b), ") ")
-	fields := strings.Fields(rest)
-	user, err := strconv.Atoi(fields[11])
-	require.NoError(t, err)
-	system, err := strconv.Atoi(fields[12])
-	require.NoError(t, err)
-	return time.Duration(user+system) * tickTime
-}
-
 // measureSessions gives the processor time that heartbeats cost a control process, by number of sessions, with TLS and with 4
 // active customers at each node. It also gives the number of log entries for the announcements of all nodes.
 func measureSessions(t *testing.T, seed uint64) {
@@ -215,12 +197,12 @@
 		d := controlOnly(t)
 		all := newBeaters(t, d, n, 4, seed)
 		before := d.Status().Revision
-		run(all, 3*time.Second)
+		beatAll(all, 3*time.Second)
 		entries := d.Status().Revision - before
 		pid := d.Process("control-0").PID()
 		used := processorTime(t, pid)
 		beats := beatsOf(all)
-		bytes, failures := run(all, span)
+		bytes, failures := beatAll(all, span)
 		beats = beatsOf(all) - beats
 		used = processorTime(t, pid) - used
 		t.Logf("%4d sessions: %.1f%% of a core, %.0f us a heartbeat, %d heartbeats a second, %.0f B/s a node, "+
@@ -234,7 +216,7 @@
 func measureProof(t *testing.T, _ uint64) {
 	zones := []registrar.ZoneName{"johor-a", "johor-b", "johor-c"}
 	d := deployer.New(t, deployer.Options{
-		Controls: 1, Entries: 4, Region: "johor", Zones: zones,
+		Controls: 3, Entries: 4, Region: "johor", Zones: zones,
 		Services: []deployer.Service{{
 			Name: "telemetry", Transport: registrar.TransportUDP, Slots: 2, Zones: append(slices.Clone(zones), zones...),
 		}},
@@ -276,6 +258,6 @@
 		time.Sleep(2 * time.Second)
 	}
 	slices.Sort(times)
-	t.Logf("%d cuts, 10 nodes: proof after %s at least, %s in the median, %s at most", rounds, times[0].Round(time.Millisecond),
+	t.Logf("%d cuts, 10 nodes, 3 control instances: proof after %s at least, %s in the median, %s at most", rounds, times[0].Round(time.Millisecond),
 		times[rounds/2].Round(time.Millisecond), times[rounds-1].Round(time.Millisecond))
 }
