--- a/internal/fake/measurer/capacity_test.go
+++ b/internal/fake/measurer/capacity_test.go
@@ -126,12 +126,15 @@
 		start = time.Now()
 		f.Update(w)
 		withdrawal := time.Since(start)
+		start = time.Now()
+		_ = w.Digest()
+		digest := time.Since(start)
 		state, err := json.Marshal(w.State())
 		require.NoError(t, err)
 		t.Logf("upstreams %5d: build %s, full state %.1f MB as JSON, world %.1f MB, entry tables %.1f MB, first update %s, unchanged update %s, "+
-			"apply one change %s, update after one change %s, update after a zone withdrawal %s", n, built.Round(time.Millisecond), float64(len(state))/1e6, float64(world)/1e6,
+			"apply one change %s, update after one change %s, update after a zone withdrawal %s, digest %s", n, built.Round(time.Millisecond), float64(len(state))/1e6, float64(world)/1e6,
 			float64(tables)/1e6, first.Round(time.Millisecond), again.Round(time.Microsecond), apply.Round(time.Microsecond),
-			update.Round(time.Microsecond), withdrawal.Round(time.Millisecond))
+			update.Round(time.Microsecond), withdrawal.Round(time.Millisecond), digest.Round(time.Microsecond))
 		runtime.KeepAlive(f)
 		runtime.KeepAlive(w)
 	}
--- a/internal/wire/encoder/heartbeat.go
+++ b/internal/wire/encoder/heartbeat.go
@@ -66,6 +66,11 @@
 	if err := CheckProtocol(m.GetProtocol()); err != nil {
 		return h, err
 	}
+	if m.GetProtocol() != Protocol {
+		// Objects of another version may have other fields, so digests do not compare. Without this every node would get the
+		// full state again and again during an upgrade.
+		h.Digest = 0
+	}
 	if err := json.Unmarshal(m.GetMachine(), &h.Machine); err != nil {
 		return h, eris.Wrap(err, "decode machine")
 	}
