Take only a lasting rise of the service time for a cold start

Cause (inferred from the rule, not traced): with service times of about 1 ms, two answers of 3 ms one after the other took a warm upstream for cold, which a busy machine causes in each stall. A run of slow answers now has to last 40 ms.

--- a/internal/admit/limiter/gauge.go
+++ b/internal/admit/limiter/gauge.go
@@ -25,6 +25,9 @@
 	// shiftRun is the number of slow requests, one after the other, that count as a shift, so that one slow request or one
 	// stall of the machine that hits all slots does not.
 	shiftRun = 2
+	// shiftTime is how long slow requests must go on before they count as a shift. Service times of about 1 ms rise
+	// several times over in each stall of a busy machine.
+	shiftTime = 40 * time.Millisecond
 	// failureRun is the number of failures in a row after which new flows go elsewhere.
 	failureRun = 5
 	// idleTime without requests makes the upstream's state unknown, so it restarts from at most one slot.
@@ -80,6 +83,8 @@
 	samples int
 	// slowAt is the end of the last request that was counted as slow.
 	slowAt time.Time
+	// slowSince is the end of the first slow request of the run.
+	slowSince time.Time
 	// baseline and deviation describe the service time when warm; baseline is 0 while unknown.
 	baseline, deviation time.Duration
 	// expected is the weight per slot of the service's other upstreams; 0 while unknown.
@@ -145,7 +150,10 @@
 		return
 	}
 	g.slowAt = now
-	if g.slow++; g.slow >= shiftRun && !g.cold {
+	if g.slow++; g.slow == 1 {
+		g.slowSince = now
+	}
+	if g.slow >= shiftRun && now.Sub(g.slowSince) >= shiftTime && !g.cold {
 		g.cool(now, Slower)
 	}
 }
