Keep the end of an expired lease when sessions are asked for

A session that another control instance holds came with no lease once the lease had expired, so that a proof showed "never" for it. TestProofKilledEntry failed on that when the entry had reported to another instance than the one that made the proof. The field is signed now; the encoding of valid leases is unchanged.

--- a/internal/wire/encoder/session.go
+++ b/internal/wire/encoder/session.go
@@ -25,18 +25,18 @@
 			Report: report, EvidenceKnown: v.EvidenceKnown,
 			// Both are rounded up, so that a report never gets fresher and a lease never shorter from the encoding.
 			HeardAgoMicros:  uint64(max(now.Sub(v.HeardAt), 0).Microseconds()) + 1,
-			LeaseLeftMicros: micros(v.LeaseUntil.Sub(now)),
+			LeaseLeftMicros: leaseLeft(now, v.LeaseUntil),
 		})
 	}
 	return m, nil
 }
 
-// micros rounds a time that is left up to microseconds; 0 means that none is left.
-func micros(d time.Duration) uint64 {
-	if d < 0 {
+// leaseLeft returns the time until a lease ends, rounded up to microseconds; 0 for no lease.
+func leaseLeft(now, until time.Time) int64 {
+	if until.IsZero() {
 		return 0
 	}
-	return uint64(d.Microseconds()) + 1
+	return until.Sub(now).Microseconds() + 1
 }
 
 // SessionsFromMessage translates an answer to a question that was asked at askedAt and arrived at now. Reports are taken to be
@@ -55,7 +55,7 @@
 			Heartbeat: h, EvidenceKnown: v.GetEvidenceKnown(),
 			HeardAt: askedAt.Add(-time.Duration(v.GetHeardAgoMicros()) * time.Microsecond),
 		}
-		if left := v.GetLeaseLeftMicros(); left > 0 {
+		if left := v.GetLeaseLeftMicros(); left != 0 {
 			next.LeaseUntil = now.Add(time.Duration(left) * time.Microsecond)
 		}
 		s.Sessions = append(s.Sessions, next)
