Count a removed control instance until its leases have run out

Cause: a proof asked only the present members of the control log. A node that had talked to an instance removed less than 3.5 s before could be taken for fenced while a lease granted by that instance was still valid.

Each instance now keeps track of the members and treats a removed one as out of reach for the time that it may vouch plus a node lease.

--- a/internal/cli/runner/upkeep.go
+++ b/internal/cli/runner/upkeep.go
@@ -45,6 +45,8 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		// An instance that is removed from the log still counts for a time, so every instance keeps track of the members.
+		u.Collector.Observe(now)
 		gone := !now.Before(u.goneAt)
 		if gone {
 			u.goneAt = now.Add(goneInterval)
--- a/internal/control/replicator/replica.go
+++ b/internal/control/replicator/replica.go
@@ -26,9 +26,9 @@
 	maxUncommitted = 16384
 	// DefaultKeep is the usual value of Replica.Keep.
 	DefaultKeep Index = 1024
-	// maxAge is the age of knowledge above which a follower grants no lease. A node then asks another instance and still
+	// MaxAge is the age of knowledge above which a follower grants no lease. A node then asks another instance and still
 	// gets the newest revision within 3 s.
-	maxAge = 1 * time.Second
+	MaxAge = 1 * time.Second
 )
 
 // Rand is a source of random numbers.
@@ -284,7 +284,7 @@
 		return r.voucher.lead(now, Index(r.termStart.Load()))
 	}
 	age, ok = r.voucher.follow(now.Sub(r.startedAt))
-	return age, ok && age <= maxAge
+	return age, ok && age <= MaxAge
 }
 
 // Leading reports whether this member is the leader and holds the lease.
--- a/internal/front/connector/sessions.go
+++ b/internal/front/connector/sessions.go
@@ -11,6 +11,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/replicator"
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/wire/encoder"
 	"github.com/peridotstage/peridotstage/internal/wire/messenger"
@@ -85,9 +87,39 @@
 	Directory Directory
 	TLS       func() *tls.Config
 
-	// mu guards peers, which keeps a connection to each instance that has been asked.
-	mu    sync.Mutex
+	// mu guards the fields below.
+	mu sync.Mutex
+	// peers keeps a connection to each instance that has been asked.
 	peers map[registrar.MachineName]*Client
+	// seenAt is when each instance was last a member.
+	seenAt map[registrar.MachineName]time.Time
+}
+
+// removedGrace is how long an instance counts after its removal. It may vouch for replicator.MaxAge more, and the leases that
+// it grants meanwhile run for subscriber.LeaseTime.
+const removedGrace = replicator.MaxAge + subscriber.LeaseTime
+
+// Observe records the present members, and returns the other instances and those that were removed so recently that leases
+// of theirs may be valid. It has to be called more often than removedGrace.
+func (c *Collector) Observe(now time.Time) []registrar.MachineName {
+	others := c.Directory.Others()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seenAt == nil {
+		c.seenAt = map[registrar.MachineName]time.Time{}
+	}
+	for _, name := range others {
+		c.seenAt[name] = now
+	}
+	for name, at := range c.seenAt {
+		switch {
+		case now.Sub(at) > removedGrace:
+			delete(c.seenAt, name)
+		case at != now:
+			others = append(others, name)
+		}
+	}
+	return others
 }
 
 // Directory lists the other control instances.
@@ -122,7 +154,7 @@
 	all := []leaser.Instance{{
 		Name: c.Name, Answered: true, StartedAt: c.StartedAt, Sessions: q.apply(c.Leaser.Sessions()),
 	}}
-	for _, name := range c.Directory.Others() {
+	for _, name := range c.Observe(time.Now()) {
 		wg.Go(func() {
 			i := leaser.Instance{Name: name}
 			if peer := c.client(name); peer != nil {
