Measure a zone's return with cold upstreams and new callers

One request in five now comes on a connection of its own, and the backends of the zone start cold when it returns, four times as slow and falling over with more than one request at once. Before, all callers kept their connections, so nothing went back into the zone and the measurement showed no ramp.

--- a/internal/fake/measurer/datapath_test.go
+++ b/internal/fake/measurer/datapath_test.go
@@ -55,6 +55,10 @@
 	fabrics  []interface{ SetEntries([]netip.AddrPort) }
 }
 
+// coldOnReturn makes a cold backend four times as slow, and lets it fall over with more than one request at once. It is cold
+// only after TurnCold with a ColdFor.
+func coldOnReturn(_ int, b *backend.Backend) { b.ColdFactor, b.ColdLimit = 4, 1 }
+
 func newRun(t *testing.T, u user, seed uint64) *userRun {
 	o := deployer.Options{Controls: 1, Entries: 3, Region: u.region, Zones: u.zones, Faulty: true}
 	for i, name := range u.services {
@@ -65,7 +69,7 @@
 		o.Services = append(o.Services, s)
 	}
 	d := deployer.New(t, o)
-	r := &userRun{Deployment: d, t: t, backends: d.Backends(0, nil)}
+	r := &userRun{Deployment: d, t: t, backends: d.Backends(0, coldOnReturn)}
 	d.Echoes(1)
 	r.fabrics = append(r.fabrics, d.Fabric(0, seed), d.Fabric(1, seed+1))
 	d.StartAll()
@@ -164,12 +168,35 @@
 	zoneStep     = 100 * time.Millisecond
 	zoneAway     = 3 * time.Second
 	zoneBack     = 12 * time.Second
-	zoneEnd      = 22 * time.Second
+	zoneEnd      = 52 * time.Second
 	zoneCallers  = 60
 	zoneInterval = 5 * time.Millisecond
 	zoneLimit    = time.Second
+	zoneSpan     = 5 * time.Second
+	// zoneCold is the cold start of the zone's backends when it returns.
+	zoneCold = 5 * time.Second
+	// zoneFresh makes one request of so many on a connection of its own, as new callers would.
+	zoneFresh = 5
 )
 
+// zoneBackends returns the backends of the first service in a zone.
+func (r *userRun) zoneBackends(zone registrar.ZoneName) []*backend.Backend {
+	var all []*backend.Backend
+	for i, z := range r.Services[0].Zones {
+		if z == zone {
+			all = append(all, r.backends[i])
+		}
+	}
+	return all
+}
+
+func servedBy(backends []*backend.Backend) (n int64) {
+	for _, b := range backends {
+		n += b.Served()
+	}
+	return n
+}
+
 // measureZoneService plots the share of requests served whole while a zone leaves and returns, by the step in which they
 // were made. A request that takes longer than 1 s counts as not served.
 func measureZoneService(t *testing.T, seed uint64) {
@@ -190,6 +217,7 @@
 		_, err := callers[i].Get("/stock", zoneLimit)
 		require.NoError(t, err)
 	}
+	inside := r.zoneBackends(zone)
 	steps := int(zoneEnd / zoneStep)
 	made, served := make([]int, steps), make([]int, steps)
 	start := time.Now()
@@ -202,12 +230,28 @@
 		mu.Lock()
 		t.Logf("last datagram into the zone %s after the confirmation", lastIn.Sub(confirmed).Round(time.Millisecond))
 		mu.Unlock()
+		for _, b := range inside {
+			b.ColdFor = zoneCold
+			b.TurnCold()
+		}
 		r.zone(planner.ReturnZone, zone)
+		before := servedBy(inside)
+		for span := range int((zoneEnd - zoneBack) / zoneSpan) {
+			time.Sleep(zoneSpan)
+			after := servedBy(inside)
+			t.Logf("until %s after the return: %d requests in the zone", time.Duration(span+1)*zoneSpan, after-before)
+			before = after
+		}
 	})
 	for n := 0; time.Since(start) < zoneEnd; n++ {
 		step := int(time.Since(start) / zoneStep)
 		wg.Go(func() {
-			a, err := callers[n%zoneCallers].Get("/stock", zoneLimit)
+			caller := callers[n%zoneCallers]
+			if n%zoneFresh == 0 {
+				caller = r.Caller(0, n%zoneCallers)
+				defer caller.Close()
+			}
+			a, err := caller.Get("/stock", zoneLimit)
 			mu.Lock()
 			defer mu.Unlock()
 			made[step]++
@@ -228,6 +272,9 @@
 			t.Logf("step %.1f s: %d of %d served", points[i].X, served[i], made[i])
 		}
 	}
+	for _, b := range inside {
+		require.False(t, b.Fallen(), "%s fell over", b.Name)
+	}
 	t.Logf("%d requests not served whole, lowest share in a step %.0f%%", lost, 100*lowest)
 	p := plot.New()
 	p.Title.Text = "Requests served whole while a zone leaves (3 s) and returns (12 s)"
