--- a/internal/front/administrator/call.go
+++ b/internal/front/administrator/call.go
@@ -149,6 +149,15 @@
 	return n, err == nil
 }
 
+// window returns the limit and the number that the page begins after, or answers with an error.
+func (c *call) window() (limit int, after uint64, ok bool) {
+	if limit, ok = c.limit(); !ok {
+		return 0, 0, false
+	}
+	after, ok = c.afterNumber()
+	return limit, after, ok
+}
+
 // Page is one page of a list.
 type Page[T any] struct {
 	Items []T `json:"items"`
--- a/internal/front/administrator/plans.go
+++ b/internal/front/administrator/plans.go
@@ -117,11 +117,7 @@
 }
 
 func (a *Administrator) listPlans(c *call) {
-	limit, ok := c.limit()
-	if !ok {
-		return
-	}
-	after, ok := c.afterNumber()
+	limit, after, ok := c.window()
 	if !ok {
 		return
 	}
@@ -146,11 +142,7 @@
 }
 
 func (a *Administrator) listAudit(c *call) {
-	limit, ok := c.limit()
-	if !ok {
-		return
-	}
-	after, ok := c.afterNumber()
+	limit, after, ok := c.window()
 	if !ok {
 		return
 	}
