Drop the system command that carries whole changes

Facts took its place, and nothing proposes it any more. It applied whole objects made from an older configuration, which is how a late announcement could undo a confirmed intent. A system command without facts is refused; the driver's unused Leading goes too.

--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -237,9 +237,6 @@
 // Vouch returns how old the applied state may be. ok is false if it is too old to grant leases.
 func (d *Driver) Vouch(now time.Time) (age time.Duration, ok bool) { return d.replica.Vouch(now) }
 
-// Leading reports whether this member is the leader and holds the lease.
-func (d *Driver) Leading(now time.Time) bool { return d.replica.Leading(now) }
-
 // Status returns the members as this member knows them.
 func (d *Driver) Status() []replicator.MemberStatus { return d.replica.Status() }
 
--- a/internal/control/planner/intent.go
+++ b/internal/control/planner/intent.go
@@ -81,7 +81,7 @@
 const (
 	CommandPlan    CommandKind = "plan"
 	CommandConfirm CommandKind = "confirm"
-	// CommandSystem applies changes that the system makes itself, such as announcements.
+	// CommandSystem merges facts that the system has observed, such as announcements.
 	CommandSystem CommandKind = "system"
 )
 
@@ -91,10 +91,9 @@
 	Operator registrar.OperatorName `json:"operator,omitempty"`
 	Number   RequestNumber          `json:"number,omitempty"`
 	// AtMilli is the time of the proposal in Unix milliseconds, for the audit log.
-	AtMilli int64              `json:"at_unix_ms"`
-	Intent  *Intent            `json:"intent,omitempty"`
-	Plan    PlanID             `json:"plan,omitempty"`
-	Changes []registrar.Change `json:"changes,omitempty"`
+	AtMilli int64   `json:"at_unix_ms"`
+	Intent  *Intent `json:"intent,omitempty"`
+	Plan    PlanID  `json:"plan,omitempty"`
 	// Facts are what the system has observed; set for CommandSystem.
 	Facts *Facts `json:"facts,omitempty"`
 	// Traffic is what was known about customers' flows when a plan was asked for. It is shown, and does not identify the
--- a/internal/control/planner/ledger.go
+++ b/internal/control/planner/ledger.go
@@ -65,11 +65,11 @@
 }
 
 func (l *Ledger) apply(c Command) Result {
-	switch {
-	case c.Kind == CommandSystem && c.Facts != nil:
+	if c.Kind == CommandSystem {
+		if c.Facts == nil {
+			return Result{Revision: l.World.Revision(), Failure: invalid("system command without facts")}
+		}
 		return l.observe(*c.Facts)
-	case c.Kind == CommandSystem:
-		return l.commit(c.Changes)
 	}
 	hash := contentHash(c)
 	first, known, f := l.memory.find(c, hash)
