--- a/internal/cli/runner/flows_test.go
+++ b/internal/cli/runner/flows_test.go
@@ -60,11 +60,7 @@
 // spray makes the fabrics use the given entries.
 func (s *site) spray(entries ...int) {
 	for service, f := range s.fabrics {
-		var to []netip.AddrPort
-		for _, e := range entries {
-			to = append(to, s.EntryServiceAddr(e, service))
-		}
-		f.SetEntries(to)
+		s.Spray(f, service, entries...)
 	}
 }
 
--- a/internal/fake/deployer/faults.go
+++ b/internal/fake/deployer/faults.go
@@ -50,5 +50,19 @@
 	}
 }
 
+// Sprayable hands datagrams to a set of entries.
+type Sprayable interface {
+	SetEntries(entries []netip.AddrPort)
+}
+
+// Spray makes a fabric hand the datagrams of service s to the given entries only.
+func (d *Deployment) Spray(f Sprayable, s int, entries ...int) {
+	var to []netip.AddrPort
+	for _, e := range entries {
+		to = append(to, d.EntryServiceAddr(e, s))
+	}
+	f.SetEntries(to)
+}
+
 // AgentName returns the name of the agent beside upstream i of service s.
 func (d *Deployment) AgentName(s, i int) string { return "agent-" + string(d.UpstreamName(s, i)) }
--- a/internal/fake/measurer/datapath_test.go
+++ b/internal/fake/measurer/datapath_test.go
@@ -79,11 +79,7 @@
 
 func (r *userRun) spray(entries ...int) {
 	for service, f := range r.fabrics {
-		var to []netip.AddrPort
-		for _, e := range entries {
-			to = append(to, r.EntryServiceAddr(e, service))
-		}
-		f.SetEntries(to)
+		r.Spray(f, service, entries...)
 	}
 }
 
--- a/internal/wire/encoder/datagram.go
+++ b/internal/wire/encoder/datagram.go
@@ -87,17 +87,9 @@
 	return AppendDatagram(b, (*r.keys.Load())[0], h, payload)
 }
 
-// Parse is ParseDatagram with any of the keys.
+// Parse verifies a datagram with any of the keys, fills h and returns the payload, which is a part of d. It zeroes the tag in
+// d.
 func (r *Keyring) Parse(d []byte, h *carrier.Header) ([]byte, error) {
-	return parse(d, *r.keys.Load(), h)
-}
-
-// ParseDatagram verifies a datagram, fills h and returns the payload, which is a part of d. It zeroes the tag in d.
-func ParseDatagram(d []byte, k Key, h *carrier.Header) ([]byte, error) {
-	return parse(d, []Key{k}, h)
-}
-
-func parse(d []byte, keys []Key, h *carrier.Header) ([]byte, error) {
 	if len(d) < HeaderSize {
 		return nil, ErrShort
 	}
@@ -107,7 +99,7 @@
 	t0 := binary.BigEndian.Uint64(d[tagAt:])
 	t1 := binary.BigEndian.Uint64(d[tagAt+8:])
 	clear(d[tagAt:HeaderSize])
-	if !verify(d, keys, t0, t1) {
+	if !verify(d, *r.keys.Load(), t0, t1) {
 		return nil, ErrTag
 	}
 	payloadAt := HeaderSize + int(d[2])*askedSize
--- a/internal/wire/encoder/datagram_test.go
+++ b/internal/wire/encoder/datagram_test.go
@@ -38,15 +38,15 @@
 		d := encoder.AppendDatagram(nil, key, &h, payload)
 		broken := append([]byte(nil), d...)
 		var got carrier.Header
-		p, err := encoder.ParseDatagram(d, key, &got)
+		p, err := encoder.NewKeyring(key).Parse(d, &got)
 		require.NoError(t, err)
 		require.Equal(t, h, got)
 		require.Equal(t, payload, append([]byte{}, p...))
 
 		broken[rapid.IntRange(0, len(broken)-1).Draw(t, "byte")] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
-		_, err = encoder.ParseDatagram(append([]byte(nil), broken...), key, &got)
+		_, err = encoder.NewKeyring(key).Parse(append([]byte(nil), broken...), &got)
 		require.Error(t, err)
-		_, err = encoder.ParseDatagram(broken[:rapid.IntRange(0, len(broken)-1).Draw(t, "length")], key, &got)
+		_, err = encoder.NewKeyring(key).Parse(broken[:rapid.IntRange(0, len(broken)-1).Draw(t, "length")], &got)
 		require.Error(t, err)
 	})
 }
@@ -57,7 +57,7 @@
 	f.Add([]byte{encoder.DatagramVersion})
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		var h carrier.Header
-		_, _ = encoder.ParseDatagram(append([]byte(nil), b...), key, &h)
-		_, _ = encoder.ParseDatagram(encoder.Seal(append([]byte(nil), b...), key), key, &h)
+		_, _ = encoder.NewKeyring(key).Parse(append([]byte(nil), b...), &h)
+		_, _ = encoder.NewKeyring(key).Parse(encoder.Seal(append([]byte(nil), b...), key), &h)
 	})
 }
