Protect upstreams that may have turned cold, and restore weights under low load

Cause 1: TestColdStart failed in a whole run of the tests: an upstream that turned cold unannounced fell over. While a running request is older than a slow answer none starts beside it now, for at most 1 s, and after a slow answer the next request runs alone. Ruled out: a shorter shift time, which took stalls of the machine for cold starts before.

Cause 2: a returned upstream announced a quarter of its weight until 46 or more successes, so under a low load it got few requests to succeed with. The known service time restores the weight after 5 answers in a row and 3 s. An upstream that was not measured before settles for 10 s and then needs 16 answers, or 5 within 5 s more.

The new tests fail without the changes.

--- a/internal/admit/limiter/gauge.go
+++ b/internal/admit/limiter/gauge.go
@@ -20,6 +20,12 @@
 	knownStep = 1.25
 	// recovered is the number of successes at the warm service time that end a cold start early.
 	recovered = 20
+	// provenRun is the number of successes in a row at the known warm service time that restore the announced weight. The
+	// limit still rises by its own steps. With 20, an upstream that gets two requests a second announced a quarter of its
+	// capacity for more than 40 s after the return of its zone.
+	provenRun = 5
+	// lowLoadTime is how long an upstream that has settled waits for minSamples before provenRun samples are enough.
+	lowLoadTime = 5 * time.Second
 	// shiftFactor is the rise in service time that counts as a shift. A cold start multiplies it by more.
 	shiftFactor = 2
 	// shiftRun is the number of slow requests, one after the other, that count as a shift, so that one slow request or one
@@ -28,6 +34,10 @@
 	// shiftTime is how long slow requests must go on before they count as a shift. Service times of about 1 ms rise
 	// several times over in each stall of a busy machine.
 	shiftTime = 40 * time.Millisecond
+	// holdFactor bounds, in warm service times, how long a slow request that still runs keeps others from starting. An
+	// upstream in an unannounced cold start shows it by such a request first; without a bound one request that takes minutes
+	// would stop all others.
+	holdFactor = 8
 	// failureRun is the number of failures in a row after which new flows go elsewhere.
 	failureRun = 5
 	// idleTime without requests makes the upstream's state unknown, so it restarts from at most one slot.
@@ -75,7 +85,11 @@
 	limit  float64
 	cold   bool
 	coldAt time.Time
-	lastAt time.Time
+	// announced tells that the upstream itself or an operator told of the cold start, so that it is no stall.
+	announced bool
+	// settled tells that the samples began after settleTime of a cold start with an unknown warm service time.
+	settled bool
+	lastAt  time.Time
 	// successes, slow and failures count since the last event of another kind.
 	successes, slow, failures int
 	// service is the mean time of recent requests, at least minService.
@@ -87,6 +101,8 @@
 	slowSince time.Time
 	// baseline and deviation describe the service time when warm; baseline is 0 while unknown.
 	baseline, deviation time.Duration
+	// known is the measured service time before the cold start; 0 while unknown.
+	known time.Duration
 	// expected is the weight per slot of the service's other upstreams; 0 while unknown.
 	expected registrar.Weight
 }
@@ -106,7 +122,10 @@
 	if g.watcher != nil && (!g.cold || g.coldAt.IsZero()) {
 		g.watcher.ColdStart(r)
 	}
-	g.limit, g.cold, g.coldAt = leastLimit, true, now
+	if !g.cold && g.samples >= minSamples {
+		g.known = g.service
+	}
+	g.limit, g.cold, g.coldAt, g.announced, g.settled = leastLimit, true, now, r == Returned, false
 	g.successes, g.slow = 0, 0
 	if g.baseline == 0 {
 		g.samples = 0
@@ -141,8 +160,21 @@
 	}
 }
 
-func (g *gauge) isSlow(d time.Duration) bool {
-	return g.baseline > 0 && d > shiftFactor*g.baseline && d > g.baseline+4*g.deviation+time.Millisecond
+func (g *gauge) isSlow(d time.Duration) bool { return g.baseline > 0 && d > g.slowAfter() }
+
+// slowAfter is the service time above which a request counts as slow. It is used with a known baseline only.
+func (g *gauge) slowAfter() time.Duration {
+	return max(shiftFactor*g.baseline, g.baseline+4*g.deviation+time.Millisecond)
+}
+
+// hold returns the time in which a request that started at the given time counts as slow and lets no other one start. It is
+// empty while the warm service time is unknown.
+func (g *gauge) hold(startedAt time.Time) (from, until time.Time) {
+	if g.baseline == 0 {
+		return from, until
+	}
+	from = startedAt.Add(g.slowAfter())
+	return from, from.Add(min(holdFactor*g.baseline+shiftTime, maxPace))
 }
 
 func (g *gauge) countSlow(now time.Time, d time.Duration) {
@@ -159,6 +191,9 @@
 }
 
 func (g *gauge) success(now time.Time, d time.Duration) {
+	if g.cold && !g.settled && g.known == 0 && now.Sub(g.coldAt) >= settleTime {
+		g.settled, g.samples = true, 0
+	}
 	g.measure(d)
 	if g.isSlow(d) {
 		g.countSlow(now, d)
@@ -209,11 +244,11 @@
 		g.limit += warmStep
 	case warm:
 		g.limit, g.cold = float64(g.slots), false
-		if elapsed >= briefCold {
+		if elapsed >= briefCold && !g.settled {
 			g.samples = 0
 		}
 		if elapsed >= longestCold {
-			g.baseline = 0
+			g.baseline, g.known = 0, 0
 		}
 		g.learn(d)
 		if g.watcher != nil {
@@ -235,6 +270,41 @@
 	}
 }
 
+// provenWarm reports whether a cold upstream has shown for long enough that it is warm to announce its capacity again. It then
+// has either the known service time, or one of its own that was measured after it had time to settle.
+func (g *gauge) provenWarm(now time.Time) bool {
+	if g.known > 0 {
+		return g.cold && g.successes >= provenRun && now.Sub(g.coldAt) >= briefCold
+	}
+	return g.cold && g.settled && g.measured(now)
+}
+
+// measured reports whether the mean service time has enough samples to be announced.
+func (g *gauge) measured(now time.Time) bool {
+	return g.samples >= minSamples ||
+		g.settled && g.samples >= provenRun && now.Sub(g.coldAt) >= settleTime+lowLoadTime
+}
+
+// stalled reports whether a cold start that nobody announced is still so short that it may be a stall.
+func (g *gauge) stalled(now time.Time) bool {
+	return g.cold && !g.announced && g.baseline > 0 && g.failures < failureRun && now.Sub(g.coldAt) < briefCold
+}
+
+// perSlot is the service time that the weight is computed from, and whether it was measured.
+func (g *gauge) perSlot(now time.Time) (time.Duration, bool) {
+	switch {
+	case g.known > 0 && (g.provenWarm(now) || !g.cold && g.samples < minSamples):
+		return g.known, true
+	case g.baseline == 0 && !g.measured(now):
+		expected := g.expected
+		if expected == 0 {
+			expected = registrar.WeightPerSlot
+		}
+		return Reference * time.Duration(registrar.WeightPerSlot) / time.Duration(expected), false
+	}
+	return g.service, g.measured(now)
+}
+
 // Weight returns the measured capacity: slots at the speed of Reference. While the upstream is cold, or measured too little
 // since, only a part of it is announced. The step to the whole capacity is then large enough to pass the 20% below
 // which control ignores a move, so that the weight in force starts from an exact value.
@@ -242,16 +312,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begin(now, l.Slots, l.Watcher)
-	capacity := float64(l.slots) * float64(registrar.WeightPerSlot) * float64(Reference) / float64(l.service)
-	if l.samples < minSamples && l.baseline == 0 {
-		perSlot := l.expected
-		if perSlot == 0 {
-			perSlot = registrar.WeightPerSlot
-		}
-		capacity = float64(l.slots) * float64(perSlot)
-	}
-	brief := l.baseline > 0 && l.failures < failureRun && now.Sub(l.coldAt) < briefCold
-	if l.cold && !brief || l.samples < minSamples {
+	service, measured := l.perSlot(now)
+	capacity := float64(l.slots) * float64(registrar.WeightPerSlot) * float64(Reference) / float64(service)
+	if !measured || l.cold && !l.stalled(now) && !l.provenWarm(now) {
 		capacity /= coldShare
 	}
 	if l.failures >= failureRun {
--- a/internal/admit/limiter/limiter.go
+++ b/internal/admit/limiter/limiter.go
@@ -71,8 +71,9 @@
 	mu sync.Mutex
 	gauge
 	// queue is ordered by deadline, earliest first.
-	queue   []*Ticket
-	running int
+	queue []*Ticket
+	// active holds the requests that have a slot, oldest first.
+	active []*Ticket
 	// pacedUntil is the earliest start of the next request while the limit is below one slot.
 	pacedUntil time.Time
 }
@@ -83,14 +84,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begin(now, l.Slots, l.Watcher)
-	l.wakeIdle(now, l.running)
+	l.wakeIdle(now, len(l.active))
 	at, _ := slices.BinarySearchFunc(l.queue, deadline, func(t *Ticket, d time.Time) int {
 		if t.deadline.After(d) {
 			return 1
 		}
 		return -1
 	})
-	if now.Add(l.wait(at + l.running)).Add(l.needs()).After(deadline) {
+	if now.Add(l.wait(at + len(l.active))).Add(l.needs()).After(deadline) {
 		return nil, ErrDeadline
 	}
 	if len(l.queue) >= queueLimit {
@@ -132,7 +133,7 @@
 			continue
 		}
 		t.state, t.startedAt = running, now
-		l.running++
+		l.active = append(l.active, t)
 		close(t.ready)
 	}
 	l.refuseLate(now)
@@ -140,7 +141,32 @@
 }
 
 func (l *Limiter) mayStart(now time.Time) bool {
-	return l.running < max(int(l.limit), 1) && !now.Before(l.pacedUntil)
+	return len(l.active) < l.atOnce(now) && !now.Before(l.pacedUntil)
+}
+
+// atOnce returns how many requests may run at once. While one of them shows by its age that the upstream may have turned cold,
+// none starts beside it. After a slow answer the next request runs alone, because it decides whether the upstream is cold.
+func (l *Limiter) atOnce(now time.Time) int {
+	held, stuck := false, false
+	for _, t := range l.active {
+		from, until := l.hold(t.startedAt)
+		held = held || now.After(from) && now.Before(until)
+		stuck = stuck || from.Before(until) && !now.Before(until)
+	}
+	if held || l.slow > 0 && !stuck {
+		return 1
+	}
+	return max(int(l.limit), 1)
+}
+
+// released returns the earliest time at which a running request that has not ended lets others start again.
+func (l *Limiter) released(now time.Time) (at time.Time, ok bool) {
+	for _, t := range l.active {
+		if _, until := l.hold(t.startedAt); until.After(now) && (!ok || until.Before(at)) {
+			at, ok = until, true
+		}
+	}
+	return at, ok
 }
 
 // refuseLate refuses the queued requests that would finish after their deadline even if everything ahead of them runs at the
@@ -163,9 +189,12 @@
 		return
 	}
 	at := l.queue[0].deadline.Add(-l.needs())
-	if l.running == 0 && l.pacedUntil.After(now) && l.pacedUntil.Before(at) {
+	if len(l.active) == 0 && l.pacedUntil.After(now) && l.pacedUntil.Before(at) {
 		at = l.pacedUntil
 	}
+	if until, ok := l.released(now); ok && until.Before(at) {
+		at = until
+	}
 	l.Alarm.SetAlarm(at)
 }
 
@@ -211,7 +240,7 @@
 		return
 	}
 	t.state = ended
-	l.running--
+	l.active = slices.DeleteFunc(l.active, func(a *Ticket) bool { return a == t })
 	l.observe(now, r, now.Sub(t.startedAt))
 	if l.limit < 1 {
 		// After a request of time d, a pause of d*(1/limit-1) keeps the mean load at limit.
@@ -234,7 +263,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begin(now, l.Slots, l.Watcher)
-	return l.failures < failureRun && len(l.queue) < queueLimit/2 && l.wait(len(l.queue)+l.running) < flowWait
+	return l.failures < failureRun && len(l.queue) < queueLimit/2 && l.wait(len(l.queue)+len(l.active)) < flowWait
 }
 
 // Stats is a reading of the limiter.
@@ -250,5 +279,5 @@
 func (l *Limiter) Stats() Stats {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Stats{Limit: l.limit, Queued: len(l.queue), Running: l.running, Service: l.service, Cold: l.cold}
+	return Stats{Limit: l.limit, Queued: len(l.queue), Running: len(l.active), Service: l.service, Cold: l.cold}
 }
--- a/internal/admit/limiter/limiter_test.go
+++ b/internal/admit/limiter/limiter_test.go
@@ -49,10 +49,9 @@
 		}
 		var running, waiting []*limiter.Ticket
 		for _, ticket := range u.tickets {
-			select {
-			case <-ticket.Ready():
+			if granted(ticket) {
 				running = append(running, ticket)
-			default:
+			} else {
 				waiting = append(waiting, ticket)
 			}
 		}
@@ -72,6 +71,36 @@
 	}
 }
 
+// enter asks for a slot for a request with a late deadline.
+func (u *upstream) enter(t require.TestingT) *limiter.Ticket {
+	ticket, err := u.Enter(u.now, u.now.Add(time.Hour))
+	require.NoError(t, err)
+	return ticket
+}
+
+func granted(ticket *limiter.Ticket) bool {
+	select {
+	case <-ticket.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// one serves the oldest waiting request, or a new one if none waits.
+func (u *upstream) one(t require.TestingT, service time.Duration) {
+	if len(u.tickets) == 0 {
+		u.tickets = append(u.tickets, u.enter(t))
+	}
+	for !granted(u.tickets[0]) {
+		u.now = u.alarm.at
+		u.Advance(u.now)
+	}
+	u.now = u.now.Add(service)
+	u.Leave(u.now, u.tickets[0], limiter.Served)
+	u.tickets = u.tickets[1:]
+}
+
 // TestColdStartLoad guards against a full load on an upstream that has just started: at first it gets less than one slot,
 // and not more than one request at once before it had time to settle.
 func TestColdStartLoad(t *testing.T) {
@@ -113,6 +142,74 @@
 	}
 }
 
+// TestSlowRequestHoldsSlots guards against starting requests beside one that shows by its age that the upstream may have
+// turned cold, and against waiting without end for such a request.
+func TestSlowRequestHoldsSlots(t *testing.T) {
+	u := newUpstream(2)
+	u.serve(t, start.Add(20*time.Second), 10*time.Millisecond, limiter.Served)
+	for len(u.tickets) > 0 {
+		u.one(t, 10*time.Millisecond)
+	}
+	first := u.enter(t)
+	require.NotNil(t, first)
+	u.now = u.now.Add(30 * time.Millisecond)
+	second := u.enter(t)
+	require.False(t, granted(second), "a request starts beside one that takes three times the warm service time")
+	u.Leave(u.now, first, limiter.Served)
+	require.True(t, granted(second))
+	u.now = u.now.Add(30 * time.Millisecond)
+	third := u.enter(t)
+	require.False(t, granted(third))
+	require.Less(t, u.alarm.at.Sub(u.now), time.Second)
+	u.now = u.alarm.at
+	u.Advance(u.now)
+	require.True(t, granted(third), "a request that never ends stops all others")
+	u.Leave(u.now, third, limiter.Served)
+	u.now = u.now.Add(50 * time.Millisecond)
+	fourth, fifth := u.enter(t), u.enter(t)
+	u.Leave(u.now, second, limiter.Served)
+	require.True(t, granted(fourth))
+	require.Less(t, u.alarm.at.Sub(u.now), time.Second, "no alarm ends the wait for a request that may never end")
+	require.False(t, granted(fifth), "a request starts beside the one that decides whether the upstream is cold")
+	u.now = u.now.Add(10 * time.Millisecond)
+	u.Leave(u.now, fourth, limiter.Served)
+	require.True(t, granted(fifth))
+	require.True(t, granted(u.enter(t)), "the limit stays low after a warm answer")
+}
+
+// TestWeightRecoversUnderLowLoad guards against a returned upstream that gets few requests and so keeps a part of its weight
+// long after it has become warm, and against the whole weight while it is still cold.
+func TestWeightRecoversUnderLowLoad(t *testing.T) {
+	u := newUpstream(3)
+	u.serve(t, start.Add(30*time.Second), 10*time.Millisecond, limiter.Served)
+	warm := float64(u.Weight(u.now))
+	returned := u.now
+	u.TurnCold(u.now)
+	require.Less(t, float64(u.Weight(u.now)), warm/2, "the whole weight at the return")
+	for u.now.Before(returned.Add(5 * time.Second)) {
+		u.one(t, 40*time.Millisecond)
+		u.now = u.now.Add(time.Second)
+	}
+	require.Less(t, float64(u.Weight(u.now)), warm/2, "the whole weight while requests are slow")
+	for u.now.Before(returned.Add(20 * time.Second)) {
+		u.one(t, 10*time.Millisecond)
+		u.now = u.now.Add(time.Second)
+	}
+	require.InEpsilon(t, warm, float64(u.Weight(u.now)), 0.2)
+
+	fresh := newUpstream(3)
+	for fresh.now.Before(start.Add(10 * time.Second)) {
+		fresh.one(t, 40*time.Millisecond)
+		require.Less(t, float64(fresh.Weight(fresh.now)), warm/2, "the whole weight before the upstream had time to settle")
+		fresh.now = fresh.now.Add(time.Second)
+	}
+	for fresh.now.Before(start.Add(20 * time.Second)) {
+		fresh.one(t, 10*time.Millisecond)
+		fresh.now = fresh.now.Add(time.Second)
+	}
+	require.InEpsilon(t, warm, float64(fresh.Weight(fresh.now)), 0.2, "an upstream that was not measured before")
+}
+
 // TestLastingSlowness guards against taking a lasting rise in service time for a cold start without end.
 func TestLastingSlowness(t *testing.T) {
 	u := newUpstream(2)
