Check in one place whether the object of an intent exists

Each kind of object repeated the refusals for an object that exists already or does not exist. They stand in one function now; the order of the checks and the messages are the same. The planner's tests pass unchanged.

--- a/internal/control/planner/expand.go
+++ b/internal/control/planner/expand.go
@@ -23,6 +23,9 @@
 	AddContract: "contract", ChangeContract: "contract", RemoveContract: "contract",
 }
 
+// addKinds need an object that does not exist yet. All other kinds need one that exists.
+var addKinds = []IntentKind{AddZone, AddService, AddCustomer, AddContract}
+
 // IntentKinds returns all kinds of intent in alphabetical order.
 func IntentKinds() []IntentKind { return slices.Sorted(maps.Keys(objectOf)) }
 
@@ -61,19 +64,46 @@
 	return nil
 }
 
+// checkPresence refuses to add an object that exists and to change one that does not.
+func (in Intent) checkPresence(w *registrar.World) *Failure {
+	var had bool
+	switch {
+	case in.Zone != nil:
+		_, had = w.Zone(in.Zone.Name)
+	case in.Service != nil:
+		_, had = w.Service(in.Service.Name)
+	case in.Upstream != nil:
+		_, had = w.Upstream(in.Upstream.Name)
+	case in.Customer != nil:
+		_, had = w.Customer(in.Customer.Name)
+	case in.Contract != nil:
+		_, had = w.Contract(in.Contract.Name)
+	}
+	switch adds := slices.Contains(addKinds, in.Kind); {
+	case adds && had:
+		return exists(objectOf[in.Kind], in.Object())
+	case !adds && !had:
+		return notFound(objectOf[in.Kind], in.Object())
+	}
+	return nil
+}
+
 // expand turns an intent into the changes that carry it out. It is part of the replicated state machine: equal intents and
 // configurations give equal drafts on every instance.
 func expand(w *registrar.World, in Intent) (*draft, *Failure) {
 	if f := in.check(); f != nil {
 		return nil, f
 	}
+	if f := in.checkPresence(w); f != nil {
+		return nil, f
+	}
 	d := &draft{}
 	var f *Failure
 	switch {
 	case in.Zone != nil:
 		f = d.expandZone(w, in.Kind, *in.Zone)
 	case in.Service != nil:
-		f = d.expandService(w, in.Kind, *in.Service)
+		f = d.expandService(in.Kind, *in.Service)
 	case in.Upstream != nil:
 		f = d.expandUpstream(w, in.Kind, *in.Upstream)
 	case in.Customer != nil:
@@ -91,13 +121,8 @@
 }
 
 func (d *draft) expandZone(w *registrar.World, kind IntentKind, z registrar.Zone) *Failure {
-	old, had := w.Zone(z.Name)
-	switch {
-	case kind == AddZone && had:
-		return exists("zone", string(z.Name))
-	case kind != AddZone && !had:
-		return notFound("zone", string(z.Name))
-	case (kind == AddZone || kind == ChangeZone) && !namePattern.MatchString(string(z.Region)):
+	old, _ := w.Zone(z.Name)
+	if (kind == AddZone || kind == ChangeZone) && !namePattern.MatchString(string(z.Region)) {
 		return badField("intent.zone.region", string(z.Region), allowedName)
 	}
 	switch kind {
@@ -183,13 +208,8 @@
 	return 100 * (total - inside) / total, true
 }
 
-func (d *draft) expandService(w *registrar.World, kind IntentKind, s registrar.Service) *Failure {
-	_, had := w.Service(s.Name)
+func (d *draft) expandService(kind IntentKind, s registrar.Service) *Failure {
 	switch {
-	case kind == AddService && had:
-		return exists("service", string(s.Name))
-	case kind == RemoveService && !had:
-		return notFound("service", string(s.Name))
 	case kind == RemoveService:
 		d.step(registrar.Change{Kind: registrar.DeleteService, Service: &registrar.Service{Name: s.Name}},
 			"remove service %s", s.Name)
@@ -207,10 +227,7 @@
 }
 
 func (d *draft) expandUpstream(w *registrar.World, kind IntentKind, u registrar.Upstream) *Failure {
-	old, had := w.Upstream(u.Name)
-	if !had {
-		return notFound("upstream", string(u.Name))
-	}
+	old, _ := w.Upstream(u.Name)
 	next := old
 	d.affects("service %s", old.Service)
 	d.touches(w, old.Service)
@@ -268,17 +285,12 @@
 }
 
 func (d *draft) expandCustomer(w *registrar.World, kind IntentKind, c registrar.Customer) *Failure {
-	old, had := w.Customer(c.Name)
-	switch {
-	case kind == AddCustomer && had:
-		return exists("customer", string(c.Name))
-	case kind == AddCustomer:
+	old, _ := w.Customer(c.Name)
+	if kind == AddCustomer {
 		next := registrar.Customer{Name: c.Name}
 		d.step(registrar.Change{Kind: registrar.PutCustomer, Customer: &next}, "add customer %s", c.Name)
 		d.warn("customer %s: its packets are dropped until a contract names its sources", c.Name)
 		return nil
-	case !had:
-		return notFound("customer", string(c.Name))
 	}
 	for _, contract := range w.Contracts() {
 		if contract.Customer == c.Name {
@@ -309,12 +321,7 @@
 
 func (d *draft) expandContract(w *registrar.World, kind IntentKind, c registrar.Contract) *Failure {
 	old, had := w.Contract(c.Name)
-	switch {
-	case kind == AddContract && had:
-		return exists("contract", string(c.Name))
-	case kind != AddContract && !had:
-		return notFound("contract", string(c.Name))
-	case kind == RemoveContract:
+	if kind == RemoveContract {
 		d.step(registrar.Change{Kind: registrar.DeleteContract, Contract: &registrar.Contract{Name: c.Name}},
 			"remove contract %s", c.Name)
 		d.affects("customer %s, service %s", old.Customer, old.Service)
