Show operators every confirmed change, whichever instance answers

Cause: a read was served from the local copy of whichever control instance was asked. After a restart of all instances one answered a status with 287 of 304 zones (TestRestartAfterChanges, once in a whole run of the tests on a busy machine), although a change had been confirmed before the question.

Ruled out: passing reads to the leader, which would load it and fail without one; a read entry in the log, which costs an fsync. A read now waits until the instance's knowledge, dated by the leader's echo, is at least as new as the question.

TestReadsAreCurrent fails without the change.

--- a/internal/control/planner/intent.go
+++ b/internal/control/planner/intent.go
@@ -118,6 +118,8 @@
 	FailureNotFound FailureCode = "not_found"
 	// FailureExpired means that the request is older than the remembered window and may have run before.
 	FailureExpired FailureCode = "expired"
+	// FailureUnavailable means that this instance cannot answer now. Another one may.
+	FailureUnavailable FailureCode = "unavailable"
 )
 
 // Failure is a refusal of a command.
--- a/internal/front/administrator/administrator.go
+++ b/internal/front/administrator/administrator.go
@@ -26,6 +26,10 @@
 	readTimeout   = 15 * time.Second
 	idleTimeout   = 60 * time.Second
 	proposeTime   = 5 * time.Second
+	// currentTime is how long a read waits for the newest confirmed changes. It outlasts an election.
+	currentTime = 1 * time.Second
+	// currentInterval is how often a waiting read asks. Followers learn the newest changes every 100 ms.
+	currentInterval = 20 * time.Millisecond
 )
 
 // Log is the replicated log.
@@ -87,7 +91,7 @@
 func (a *Administrator) Handler() http.Handler {
 	mux := http.NewServeMux()
 	for _, r := range a.routes() {
-		mux.Handle(r.Method+" "+r.Path, a.authenticated(r.serve))
+		mux.Handle(r.Method+" "+r.Path, a.authenticated(a.reading(r)))
 	}
 	mux.Handle("/", a.authenticated(func(c *call) {
 		c.fail(http.StatusNotFound, &planner.Failure{
@@ -98,6 +102,43 @@
 	return mux
 }
 
+// reading returns how a route is served. A read shows every change that was confirmed before it was asked for, whichever
+// instance answers. One that cannot be sure says so in its answer, or is refused if its answer has no place for that.
+func (a *Administrator) reading(r route) func(*call) {
+	if r.Method != http.MethodGet || r.reads == readsNothing {
+		return r.serve
+	}
+	return func(c *call) {
+		c.current = a.awaitCurrent(c.request.Context(), time.Now())
+		if !c.current && r.reads == readsCurrent {
+			c.fail(http.StatusServiceUnavailable, &planner.Failure{
+				Code: planner.FailureUnavailable, Message: "this instance does not know the newest confirmed changes; ask another one",
+			})
+			return
+		}
+		r.serve(c)
+	}
+}
+
+// awaitCurrent waits until this instance knows all that was confirmed before asked.
+func (a *Administrator) awaitCurrent(ctx context.Context, asked time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, asked.Add(currentTime))
+	defer cancel()
+	tick := time.NewTicker(currentInterval)
+	defer tick.Stop()
+	for {
+		now := time.Now()
+		if age, ok := a.Authority.Vouch(now); ok && !now.Add(-age).Before(asked) {
+			return true
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // authenticated serves only operators, who are known by their certificates.
 func (a *Administrator) authenticated(serve func(*call)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/front/administrator/administrator_test.go
+++ b/internal/front/administrator/administrator_test.go
@@ -124,6 +124,43 @@
 	}
 }
 
+// behind knows the changes confirmed until a moment, or nothing before it is known.
+type behind struct{ asked, known int }
+
+func (b *behind) Vouch(time.Time) (time.Duration, bool) {
+	b.asked++
+	if b.asked <= b.known {
+		return time.Hour, true
+	}
+	return 0, b.known >= 0
+}
+
+// TestReadsAreCurrent guards reads against an instance that has not caught up: it waits until it has, and otherwise refuses or
+// says so. A restarted instance showed 287 of 304 zones before it asked its authority.
+func TestReadsAreCurrent(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		authority  *behind
+		status     int
+		contains   string
+	}{
+		{"catches up", "/v1/zones", &behind{known: 2}, http.StatusOK, `"items"`},
+		{"list behind", "/v1/zones", &behind{known: -1}, http.StatusServiceUnavailable, `"unavailable"`},
+		{"status behind", "/v1/status", &behind{known: -1}, http.StatusOK, `"vouched": false`},
+		{"status", "/v1/status", &behind{}, http.StatusOK, `"vouched": true`},
+		{"members behind", "/v1/members", &behind{known: -1}, http.StatusOK, `"members"`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a, _ := newAPI()
+			a.Authority = c.authority
+			status, body := ask(a.Handler(), loader.HolderOperator, http.MethodGet, c.path, "")
+			require.Equal(t, c.status, status)
+			require.Contains(t, body, c.contains)
+			require.True(t, c.authority.known <= 0 || c.authority.asked > c.authority.known, "answered before it caught up")
+		})
+	}
+}
+
 // TestOnlyOperators guards every route, and paths without one, against peers that are not operators.
 func TestOnlyOperators(t *testing.T) {
 	a, _ := newAPI()
--- a/internal/front/administrator/call.go
+++ b/internal/front/administrator/call.go
@@ -26,6 +26,8 @@
 	request  *http.Request
 	operator registrar.OperatorName
 	status   int
+	// current tells a read whether the configuration has every change that was confirmed before it was asked for.
+	current bool
 }
 
 // FailureBody is the body of an answer that refuses a request.
--- a/internal/front/administrator/lists.go
+++ b/internal/front/administrator/lists.go
@@ -37,7 +37,7 @@
 // Status is the state of the whole deployment. Each list holds at most 1000 items; the paged lists have all of them.
 type Status struct {
 	Revision registrar.Revision `json:"revision"`
-	// Vouched is true if the instance knows the newest confirmed revision.
+	// Vouched is true if every change that was confirmed before the request is in this answer.
 	Vouched  bool                 `json:"vouched"`
 	Counts   Counts               `json:"counts"`
 	Zones    []registrar.Zone     `json:"zones"`
@@ -54,9 +54,8 @@
 	now := time.Now()
 	st := Status{
 		Revision: w.Revision(), Zones: w.Zones(), Services: w.Services(), Upstream: w.Upstreams(), Nodes: nodes(now, instances),
-		Unasked: []registrar.MachineName{},
+		Unasked: []registrar.MachineName{}, Vouched: c.current,
 	}
-	_, st.Vouched = a.Authority.Vouch(now)
 	for _, i := range instances {
 		if !i.Answered {
 			st.Unasked = append(st.Unasked, i.Name)
--- a/internal/front/administrator/members.go
+++ b/internal/front/administrator/members.go
@@ -27,7 +27,8 @@
 	return []route{
 		{
 			Method: http.MethodGet, Path: "/v1/members", Summary: "Show the members of the control log.",
-			Answer: typeOf[MembersStatus](), serve: func(c *call) { c.ok(MembersStatus{Members: a.Membership.Status()}) },
+			Answer: typeOf[MembersStatus](), reads: readsNothing,
+			serve: func(c *call) { c.ok(MembersStatus{Members: a.Membership.Status()}) },
 		},
 		{
 			Method: http.MethodPost, Path: "/v1/members", Summary: "Add, promote or remove one member of the control log.",
@@ -51,6 +52,6 @@
 		c.fail(http.StatusConflict, &planner.Failure{Code: planner.FailureConflict, Message: err.Error()})
 	default:
 		a.Recorder.Warn(recorder.ProposalFailed, recorder.Err(err))
-		c.fail(http.StatusServiceUnavailable, &planner.Failure{Code: "unavailable", Message: err.Error()})
+		c.fail(http.StatusServiceUnavailable, &planner.Failure{Code: planner.FailureUnavailable, Message: err.Error()})
 	}
 }
--- a/internal/front/administrator/plans.go
+++ b/internal/front/administrator/plans.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		a.Recorder.Warn(recorder.ProposalFailed, recorder.Err(err))
 		c.fail(http.StatusServiceUnavailable, &planner.Failure{
-			Code: "unavailable", Message: fmt.Sprintf("the outcome is unknown: %v; resend the request with the same number", err),
+			Code: planner.FailureUnavailable, Message: fmt.Sprintf("the outcome is unknown: %v; resend the request with the same number", err),
 		})
 		return
 	}
--- a/internal/front/administrator/routes.go
+++ b/internal/front/administrator/routes.go
@@ -19,9 +19,22 @@
 	Query []string
 	// Body and Answer are the types of the bodies; Body is nil for operations without one.
 	Body, Answer reflect.Type
+	reads        reads
 	serve        func(*call)
 }
 
+// reads says how new the configuration has to be that a GET operation shows.
+type reads uint8
+
+const (
+	// readsCurrent refuses to answer without the newest confirmed changes.
+	readsCurrent reads = iota
+	// readsDeclared answers in any case and declares in the answer whether the newest confirmed changes are in it.
+	readsDeclared
+	// readsNothing does not show the configuration.
+	readsNothing
+)
+
 func typeOf[T any]() reflect.Type { return reflect.TypeFor[T]() }
 
 var paged = []string{"limit", "after"}
@@ -52,24 +65,24 @@
 		},
 		{
 			Method: http.MethodGet, Path: "/v1/status", Summary: "Show the configuration and the nodes that enforce it.",
-			Answer: typeOf[Status](), serve: a.status,
+			Answer: typeOf[Status](), reads: readsDeclared, serve: a.status,
 		},
 		{
 			Method: http.MethodGet, Path: "/v1/customers/{name}/trace", Summary: "Show where a customer's traffic goes now.",
 			Answer: typeOf[tracer.Trace](), serve: a.trace,
 		},
 		{
-			Method: http.MethodGet, Path: "/v1/customers/{name}/proof", Answer: typeOf[leaser.Proof](), serve: a.proof,
+			Method: http.MethodGet, Path: "/v1/customers/{name}/proof", Answer: typeOf[leaser.Proof](), reads: readsDeclared, serve: a.proof,
 			Summary: "Show whether a customer's traffic has stopped, with the evidence of every node.",
 		},
 		{
 			Method: http.MethodGet, Path: "/v1/burn", Answer: typeOf[burner.Report](),
 			Summary: "Show the requests that agents reported to this instance, for the report on service-level burn.",
-			serve:   func(c *call) { c.ok(a.Burn(time.Now())) },
+			reads:   readsNothing, serve: func(c *call) { c.ok(a.Burn(time.Now())) },
 		},
 		{
 			Method: http.MethodGet, Path: "/v1/openapi.json", Summary: "Return this document.", Answer: typeOf[map[string]any](),
-			serve: func(c *call) { c.ok(a.Document()) },
+			reads: readsNothing, serve: func(c *call) { c.ok(a.Document()) },
 		},
 	}, append(a.memberRoutes(), a.lists()...)...)
 }
