Decide how a claim ledger passes to the next process

A restarted claim owner abstains for 65 s, because it may have granted claims that it has forgotten. At a planned stop it knows all of them. The owner now seals its ledger, another agent holds it encoded, and the next process restores it.

A ledger may be restored only if nothing was granted after it was sealed. Therefore a process that has no ledger grants nothing until every agent of the service has said that it holds none and will accept none, or until 70 s after its start, when no ledger of an earlier process is given away any more. A holder drops the ledger before it answers; an owner asks a second holder only if the first one surely has not got it; a late ledger of a process that another has followed is refused. Ruled out: giving the ledger again to the same process after a lost answer (more state for a rare case), and waiting 70 s in every case (no keyed requests for that long after a first start).

The ledger alone was not enough. A process that knows no owners before its start has to ask one that does, and after three restarts in a row there is none, so the history of owners comes with the ledger. And while one of three agents was stopped, the two others were an owner set that needed both for 67.5 s, so an inactive agent is now the third owner of such a set.

--- a/internal/request/claimer/directory.go
+++ b/internal/request/claimer/directory.go
@@ -33,54 +33,65 @@
 	return SetID(h.Sum64())
 }
 
-// candidate is an agent that may own claims.
-type candidate struct {
+// Candidate is an agent that may own claims.
+type Candidate struct {
 	Peer
-	zone registrar.ZoneName
+	Zone registrar.ZoneName
+	// Active is false while the agent is silent or about to stop. It then owns claims only where it is the third one.
+	Active bool
 }
 
-// epoch is the candidates between two changes.
-type epoch struct {
-	candidates []candidate
-	// endedAt is when the next epoch began here; zero for the present one.
-	endedAt time.Time
+// Epoch is the candidates between two changes.
+type Epoch struct {
+	Candidates []Candidate
+	// EndedAt is when the next epoch began here; zero for the present one.
+	EndedAt time.Time
 }
 
 // Directory knows the owners of each key at present and in the recent past.
 type Directory struct {
 	mu sync.RWMutex
-	// knownAt is when the first configuration arrived. Earlier changes of owners are not known here.
+	// knownAt is when the first configuration arrived here, or at the agent whose history was inherited. Earlier changes of
+	// owners are not known here.
 	knownAt time.Time
-	// epochs are ordered newest first.
-	epochs []epoch
+	// epochs are ordered newest first, inherited ones after the others.
+	epochs []Epoch
+	// agents are all agents of the service, whether they may own claims or not.
+	agents []Peer
 }
 
 // Update takes the agents of the service into account.
 func (d *Directory) Update(now time.Time, v registrar.ServiceView) {
-	var next []candidate
+	var next []Candidate
+	var agents []Peer
 	for _, u := range v.Upstreams {
-		if u.ZoneWithdrawn || u.Draining || u.Silent || !u.ControlAddress.IsValid() {
+		if !u.ControlAddress.IsValid() {
 			continue
 		}
-		next = append(next, candidate{Peer: Peer{Machine: u.Machine, Address: u.ControlAddress}, zone: u.Zone})
+		p := Peer{Machine: u.Machine, Address: u.ControlAddress}
+		agents = append(agents, p)
+		if !u.ZoneWithdrawn {
+			next = append(next, Candidate{Peer: p, Zone: u.Zone, Active: !u.Draining && !u.Silent})
+		}
 	}
-	slices.SortFunc(next, func(a, b candidate) int { return cmp.Compare(a.Machine, b.Machine) })
+	slices.SortFunc(next, func(a, b Candidate) int { return cmp.Compare(a.Machine, b.Machine) })
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.agents = agents
 	if d.epochs == nil {
 		d.knownAt = now
-		d.epochs = []epoch{{candidates: next}}
+		d.epochs = []Epoch{{Candidates: next}}
 		return
 	}
-	if slices.Equal(d.epochs[0].candidates, next) {
+	if slices.Equal(d.epochs[0].Candidates, next) {
 		return
 	}
-	d.epochs[0].endedAt = now
+	d.epochs[0].EndedAt = now
 	// Resends ask for keys until KeepAnswer after their deadline.
-	d.epochs = slices.DeleteFunc(d.epochs, func(e epoch) bool {
-		return !e.endedAt.IsZero() && now.After(e.endedAt.Add(overlap+KeepAnswer))
+	d.epochs = slices.DeleteFunc(d.epochs, func(e Epoch) bool {
+		return !e.EndedAt.IsZero() && now.After(e.EndedAt.Add(overlap+KeepAnswer))
 	})
-	d.epochs = slices.Insert(d.epochs, 0, epoch{candidates: next})
+	d.epochs = slices.Insert(d.epochs, 0, Epoch{Candidates: next})
 }
 
 // Sets returns the sets of owners of which a majority each must agree, the present one first. known is false if other sets
@@ -89,10 +100,10 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	for _, e := range d.epochs {
-		if !e.endedAt.IsZero() && deadline.After(e.endedAt.Add(overlap)) {
+		if !e.EndedAt.IsZero() && deadline.After(e.EndedAt.Add(overlap)) {
 			continue
 		}
-		s := choose(e.candidates, k)
+		s := choose(e.Candidates, k)
 		if len(s) > 0 && !slices.ContainsFunc(sets, func(o Set) bool { return o.ID() == s.ID() }) {
 			sets = append(sets, s)
 		}
@@ -100,26 +111,45 @@
 	return sets, deadline.After(d.knownAt.Add(overlap))
 }
 
-// choose selects owners by rendezvous hashing, in different zones where possible.
-func choose(all []candidate, k RequestKey) Set {
-	type scored struct {
-		candidate
-		score uint64
-	}
-	var ranked []scored
+// scored is a candidate with its score in rendezvous hashing.
+type scored struct {
+	Candidate
+	score uint64
+}
+
+// rank orders candidates by rendezvous hashing.
+func rank(all []Candidate, score func(registrar.MachineName) uint64) (active, inactive []scored) {
 	for _, c := range all {
-		ranked = append(ranked, scored{c, score(c.Machine, k)})
+		if c.Active {
+			active = append(active, scored{c, score(c.Machine)})
+		} else {
+			inactive = append(inactive, scored{c, score(c.Machine)})
+		}
+	}
+	order := func(a, b scored) int { return cmp.Compare(b.score, a.score) }
+	slices.SortFunc(active, order)
+	slices.SortFunc(inactive, order)
+	return active, inactive
+}
+
+// choose selects owners by rendezvous hashing, in different zones where possible. If only two agents are active, an inactive
+// one is the third owner: the same two are a majority, and once it is back, the next one may stop. A set of the two alone would
+// need both of them until its overlap has passed. Each majority of the two sets has an owner in common, so agents of an earlier
+// version, which leave the third one out, may be mixed in.
+func choose(all []Candidate, k RequestKey) Set {
+	ranked, inactive := rank(all, func(m registrar.MachineName) uint64 { return score(m, k) })
+	if len(ranked) == OwnerCount-1 && len(inactive) > 0 {
+		ranked = append(ranked, inactive[0])
 	}
-	slices.SortFunc(ranked, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	var s Set
 	zones := map[registrar.ZoneName]bool{}
 	for _, distinct := range []bool{true, false} {
 		for _, c := range ranked {
-			if len(s) == OwnerCount || slices.Contains(s, c.Peer) || distinct && zones[c.zone] {
+			if len(s) == OwnerCount || slices.Contains(s, c.Peer) || distinct && zones[c.Zone] {
 				continue
 			}
 			s = append(s, c.Peer)
-			zones[c.zone] = true
+			zones[c.Zone] = true
 		}
 	}
 	slices.SortFunc(s, func(a, b Peer) int { return cmp.Compare(a.Machine, b.Machine) })
--- a/internal/request/claimer/owner.go
+++ b/internal/request/claimer/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,12 +41,17 @@
 
 // Owner holds the claims that one agent owns. The exported fields are set before first use.
 type Owner struct {
-	// StartedAt is when the agent started. Claims granted before that are forgotten.
+	// StartedAt is when the agent started. Claims granted before that are forgotten, unless Restore brings them back.
 	StartedAt time.Time
+	// Recovers makes the owner abstain until the search for the ledger of the process before has ended.
+	Recovers bool
 	// Directory knows the owners of a key. It counts only under a valid lease.
 	Directory *Directory
 	Lease     Lease
-	shards    [shardCount]ownerShard
+	// memory is changed by compare-and-swap. It is read under the lock of a shard, so that nothing is added to a shard after
+	// Seal has copied it.
+	memory atomic.Pointer[memory]
+	shards [shardCount]ownerShard
 }
 
 func (o *Owner) shard(k RequestKey) *ownerShard {
@@ -70,12 +76,15 @@
 		s.records = map[RequestKey]*record{}
 	}
 	old := s.records[c.Request]
+	m := o.recall(now)
 	switch {
 	case c.Kind == Finish:
 		s.finish(c)
+	case m.phase == sealed && c.Kind == Void && old != nil && old.state == Granted:
+		// The owner abstains, because the ledger says that the claim is held.
 	case old != nil:
 		r.Verdict, r.Answer = old.reply(c)
-	case o.forgot(c.Deadline) || len(s.records) >= maxRecords:
+	case m.forgot(c.Deadline) || len(s.records) >= maxRecords:
 		// The owner abstains.
 	case c.Kind == Claim && !now.After(c.Deadline) && !c.Deadline.After(now.Add(KeyAhead)):
 		s.add(c, Granted)
@@ -89,9 +98,9 @@
 
 // forgot reports whether a claim on a key with this deadline may have been granted before the agent started. Such a claim
 // was granted at most KeyAhead before the deadline, by a clock that differs by at most ClockError. Once KeyAhead plus
-// ClockError have passed since the start, this holds for no live key.
-func (o *Owner) forgot(deadline time.Time) bool {
-	return !deadline.After(o.StartedAt.Add(KeyAhead + ClockError))
+// ClockError have passed since the start, this holds for no live key. An owner that is not settled makes no promise either.
+func (m *memory) forgot(deadline time.Time) bool {
+	return m.phase != settled || !deadline.After(m.forgottenUntil)
 }
 
 func (s *ownerShard) add(c Call, state Verdict) {
