--- a/internal/front/connector/claims.go
+++ b/internal/front/connector/claims.go
@@ -35,6 +35,7 @@
 // claimService translates calls of messenger.Claims.
 type claimService struct {
 	handler ClaimHandler
+	holder  LedgerHolder
 }
 
 // Ask answers one call.
@@ -153,8 +154,7 @@
 	}
 	p.mu.Unlock()
 	if conn != nil {
-		// The end of a TLS connection is announced to the peer, which may take seconds if the connection is silent.
-		go func() { _ = conn.Close() }()
+		closeLater(conn)
 	}
 }
 
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -36,6 +36,8 @@
 	Consensus ConsensusHandler
 	// Claims answers the claims of other agents; nil on machines that do not.
 	Claims ClaimHandler
+	// Ledgers holds the sealed ledgers of other agents; nil on machines that do not.
+	Ledgers LedgerHolder
 }
 
 // HeartbeatHandler answers heartbeats.
@@ -57,7 +59,7 @@
 		}
 	}
 	if s.Claims != nil {
-		if err := messenger.DRPCRegisterClaims(mux, &claimService{s.Claims}); err != nil {
+		if err := messenger.DRPCRegisterClaims(mux, &claimService{s.Claims, s.Ledgers}); err != nil {
 			return eris.Wrap(err, "register claims service")
 		}
 	}
