Hand the claim ledger over at a planned stop of an agent

The agent seals its ledger once its own requests have ended, and the next process looks for it as soon as it holds a lease. It is not ready until it has the ledger, all agents have answered, or 10 s have passed.

--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -57,6 +57,9 @@
 		if _, ok := a.tracker.Self(); !ok {
 			return errUnknownUpstream
 		}
+		if a.handover.pending(now) {
+			return errClaims
+		}
 		return n.ready(now, n.subscriber.World.Revision())
 	})
 	if err != nil {
@@ -73,7 +76,8 @@
 	g.run(n.run)
 	g.run(reload)
 	g.run(e.Run)
-	g.run((&connector.Server{Address: cfg.ControlAddress, TLS: keys.Server, Claims: a.owner}).Run)
+	g.run((&connector.Server{Address: cfg.ControlAddress, TLS: keys.Server, Claims: a.owner, Ledgers: a.handover.holder}).Run)
+	g.run(a.handover.recover)
 	g.run(a.expire)
 	rec.Info(recorder.MachineStarted)
 	select {
@@ -82,12 +86,15 @@
 		return g.wait()
 	}
 	n.stopping.Store(true)
+	a.handover.holder.Close()
 	rec.Info(recorder.StopBegun)
 	n.heartbeatNow()
 	awaitNoNewFlows(g, a.tracker)
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(cfg.Drain))
 	defer cancel()
 	err = a.responder.Shutdown(drain, a.handler.InFlight)
+	// The requests of this agent have ended, so the ledger is sealed as late as possible.
+	a.handover.handOver(g.ctx)
 	sendFinalBatch(g, n, a.meter)
 	// Control learns that no flows are left here, so that chains leave this agent out at once.
 	a.stopped.Store(true)
@@ -118,6 +125,7 @@
 	tracker   *tracker.Tracker
 	owner     *claimer.Owner
 	claims    *connector.Claims
+	handover  *handover
 	pool      *responder.Pool
 	handler   *responder.Handler
 	responder *responder.Responder
@@ -132,10 +140,11 @@
 	a := &agent{
 		cfg: cfg, node: n, counter: n.counts, meter: &burner.Meter{StartedAt: time.Now()},
 		admission: &admission{service: cfg.Service, upstream: cfg.Upstream, limiter: l, directory: directory},
-		owner:     &claimer.Owner{StartedAt: time.Now(), Directory: directory, Lease: n.subscriber},
+		owner:     &claimer.Owner{StartedAt: time.Now(), Recovers: true, Directory: directory, Lease: n.subscriber},
 		pool:      &responder.Pool{Address: cfg.UpstreamAddress, Broken: func() { l.TurnCold(time.Now()) }},
 	}
 	a.claims = &connector.Claims{TLS: keys.Client, Machine: cfg.Name, Local: a.owner}
+	a.handover = newHandover(cfg, n, a.owner, a.claims)
 	a.tracker = &tracker.Tracker{
 		Machine: cfg.Name, Upstream: cfg.Upstream, Service: cfg.Service, Lease: n.subscriber, Admitter: l,
 		Counter: a.counter, Stamper: keys.Stamper,
@@ -185,6 +194,7 @@
 		case now := <-ticker.C:
 			a.tracker.Expire(now)
 			a.owner.Expire(now)
+			a.handover.holder.Expire(now)
 			a.responder.Notify()
 		}
 	}
--- a/internal/cli/runner/metrics.go
+++ b/internal/cli/runner/metrics.go
@@ -23,6 +23,7 @@
 	errNoLeader        = eris.New("not in contact with a leader that holds its lease")
 	errNoLease         = eris.New("no valid lease")
 	errUnknownUpstream = eris.New("configuration does not contain the upstream")
+	errClaims          = eris.New("claims of the process before are not known yet")
 	errBehind          = eris.New("newest known revision is not in force")
 )
 
--- a/internal/cli/runner/request_test.go
+++ b/internal/cli/runner/request_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/peridotstage/peridotstage/internal/fake/checker"
 	"github.com/peridotstage/peridotstage/internal/fake/deployer"
 	"github.com/peridotstage/peridotstage/internal/fake/silencer"
+	"github.com/peridotstage/peridotstage/internal/report/recorder"
 )
 
 // TestAtMostOnce guards promises 5 to 7 with real processes: a second run, a "not run" of a job that reached an upstream, or
@@ -145,6 +148,44 @@
 	require.Zero(t, r.Unknown+r.NoAnswer+r.NotRun, "requests were cut: %v %v", r, r.Errors)
 }
 
+// TestRestartsInARow guards against keyed requests that end as unknown or not run because restarted claim owners abstain, or
+// because a set of owners needs two agents of which one stops: all agents of a service stop and start as planned right after one
+// another.
+func TestRestartsInARow(t *testing.T) {
+	e := checker.New(t, 3, 2, func(_ int, b *backend.Backend) { b.ServiceTime = 20 * time.Millisecond })
+	e.AwaitClaims(t)
+	restart := func(i int) {
+		name := "agent-" + string(e.UpstreamName(0, i))
+		if err := e.Process(name).Stop(); err != nil {
+			t.Errorf("planned stop: %v", err)
+		}
+		e.StartAgent(0, i)
+		for deadline := time.Now().Add(deployer.WaitTime); !e.Ready(e.AgentAddr(0, i)) && time.Now().Before(deadline); {
+			time.Sleep(deployer.PollTime)
+		}
+		if !strings.Contains(e.Log(name), recorder.LedgerRestored.Message) {
+			t.Errorf("%s has not restored its claim ledger", name)
+		}
+	}
+	y := e.Run(t, 600, 300*time.Millisecond, 1, func(context.Context, *rand.Rand) {
+		began := time.Now()
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for i := range e.Backends {
+				restart(i)
+			}
+			t.Logf("restarts took %v", time.Since(began))
+		})
+		r := e.Apply(t, checker.Load{Rate: 20, For: 10 * time.Second, Deadline: 5 * time.Second, Flows: 20, FlowLength: 10, Every: 1})
+		wg.Wait()
+		if t.Log(r); r.Unknown+r.NoAnswer+r.NotRun > 0 {
+			t.Errorf("keyed requests failed: %v %v", r, r.Errors)
+		}
+	})
+	t.Log(y)
+	y.Require(t)
+}
+
 // TestSilentUpstreamConnection guards against requests that hang on a connection which a middlebox has forgotten: they must
 // end truthfully within 5 s, and later ones must work at once on new connections.
 func TestSilentUpstreamConnection(t *testing.T) {
