--- a/internal/cli/runner/handover.go
+++ b/internal/cli/runner/handover.go
@@ -99,7 +99,7 @@
 			if f.Verdict == claimer.FetchRefused {
 				failed[p] = round
 			}
-			if err != nil && ctx.Err() == nil {
+			if err != nil && !known && ctx.Err() == nil {
 				h.recorder.Warn(recorder.FetchFailed, zap.String("agent", string(p.Machine)), recorder.Err(err))
 			}
 			if ok {
