--- a/internal/request/dispatcher/model_test.go
+++ b/internal/request/dispatcher/model_test.go
@@ -97,6 +97,22 @@
 	a.receive()
 }
 
+// restartAsPlanned restarts the machine with the ledger of its process and the history of owners at another one.
+func (a *machine) restartAsPlanned() {
+	l, ok := a.owner.Seal(a.Now())
+	a.m.now = a.m.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(a.m.T, "stop")) * time.Millisecond)
+	holder := rapid.SampledFrom(a.m.machines).Draw(a.m.T, "holder")
+	if holder == a || !holder.Valid(a.m.now) || !ok {
+		a.restart()
+		return
+	}
+	h := holder.directory.History()
+	a.restart()
+	a.owner.Recovers = true
+	require.True(a.m, a.owner.Restore(a.Now(), l))
+	a.directory.Inherit(a.Now(), *h)
+}
+
 // Ask delivers a call to each peer, loses it, loses the reply, or delivers it much later.
 func (a *machine) Ask(_ context.Context, peers []claimer.Peer, c claimer.Call) <-chan claimer.OwnerReply {
 	replies := make(chan claimer.OwnerReply, len(peers))
@@ -175,6 +191,9 @@
 	if m.chance(5, "restart") {
 		rapid.SampledFrom(m.machines).Draw(m.T, "machine").restart()
 	}
+	if m.chance(5, "planned restart") {
+		rapid.SampledFrom(m.machines).Draw(m.T, "machine").restartAsPlanned()
+	}
 	if m.chance(5, "change") {
 		m.change()
 	}
