Reload the settings file on SIGHUP

SIGHUP read key files again, and any change of a setting needed a restart. A process now reads its settings file as well. It checks the whole file, then the changes, then the key files, and only then changes anything. A bad file is refused with file, line, field, value and what is allowed (event 1105, one line a problem); a change of a field that needs a restart is refused with the name of the field (1106); event 1104 lists what took effect. Key files were taken one by one, so a wrong certificate of a service left new data keys in force; all are read before any is.

Objectives, lease_expired, slots, linger and drain can be reloaded. The settings page has a column for it.

A node that is to serve without a lease waits until the log says so, because a proof concludes from sessions and the log that a missing node is fenced; an older session at another instance no longer hides what the log says. Counts hold only what was slow by the bound of their time, so a changed fast_within drops them and the report says "unknown" until the windows are filled.

The case "serves without a lease by the log, older session" of TestProof fails with the proof as it was. Ruled out: taking the part of a file that can be reloaded, because the operator could not tell what is in force.

--- a/internal/admit/limiter/gauge.go
+++ b/internal/admit/limiter/gauge.go
@@ -102,6 +102,12 @@
 	g.cool(now, Started)
 }
 
+// setSlots changes the number of slots. A limit that may be higher than before rises with successes, as after a cold start.
+func (g *gauge) setSlots(slots registrar.Slots) {
+	g.slots = max(slots, 1)
+	g.limit = min(g.limit, float64(g.slots))
+}
+
 func (g *gauge) cool(now time.Time, r Reason) {
 	if g.watcher != nil && (!g.cold || g.coldAt.IsZero()) {
 		g.watcher.ColdStart(r)
--- a/internal/admit/limiter/limiter.go
+++ b/internal/admit/limiter/limiter.go
@@ -62,6 +62,7 @@
 
 // Limiter limits the requests to one upstream. The exported fields are set before first use.
 type Limiter struct {
+	// Slots is the number at the start. SetSlots changes it later.
 	Slots registrar.Slots
 	// Alarm may be nil if Advance is called regularly.
 	Alarm Alarm
@@ -228,6 +229,15 @@
 	l.cool(now, Returned)
 }
 
+// SetSlots changes the number of requests that the upstream serves at once. Requests beyond a lower number finish.
+func (l *Limiter) SetSlots(now time.Time, slots registrar.Slots) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin(now, slots, l.Watcher)
+	l.setSlots(slots)
+	l.advance(now)
+}
+
 // AdmitFlow reports whether a new flow should stay with this upstream. Flows cost the upstream nothing by themselves, so the
 // answer is no only if requests wait long or the upstream fails.
 func (l *Limiter) AdmitFlow(now time.Time) bool {
--- a/internal/admit/limiter/limiter_test.go
+++ b/internal/admit/limiter/limiter_test.go
@@ -254,3 +254,17 @@
 		})
 	})
 }
+
+// TestSetSlots guards against a reloaded number of slots that is not in force, in either direction.
+func TestSetSlots(t *testing.T) {
+	u := newUpstream(3)
+	u.serve(t, start.Add(12*time.Second), 10*time.Millisecond, limiter.Served)
+	for _, slots := range []registrar.Slots{1, 5} {
+		u.SetSlots(u.now, slots)
+		// The requests in progress finish before the peak counts.
+		u.serve(t, u.now.Add(10*time.Millisecond), 10*time.Millisecond, limiter.Served)
+		u.peak = 0
+		u.serve(t, u.now.Add(time.Second), 10*time.Millisecond, limiter.Served)
+		require.Equal(t, int(slots), u.peak)
+	}
+}
--- a/internal/cli/commander/operating_test.go
+++ b/internal/cli/commander/operating_test.go
@@ -73,7 +73,11 @@
 		g.remember(out.String())
 	case command == "kill -HUP PID":
 		for _, name := range g.deployment.Names() {
+			before := strings.Count(g.deployment.Log(name), `"event":1104`)
 			g.deployment.Process(name).Hangup()
+			require.Eventually(t, func() bool {
+				return strings.Count(g.deployment.Log(name), `"event":1104`) > before
+			}, deployer.WaitTime, deployer.PollTime, "%s did not reload", name)
 		}
 	case command == "kill -TERM PID":
 		require.NoError(t, g.deployment.Process(g.target).Stop())
--- a/internal/cli/commander/roles.go
+++ b/internal/cli/commander/roles.go
@@ -16,7 +16,7 @@
 	addRole(a, "control", "Run a control instance.", runner.Control)
 }
 
-func addRole[T any](a *app, name, help string, run func(context.Context, T, *recorder.Recorder) error) {
+func addRole[T any](a *app, name, help string, run func(context.Context, runner.Source[T], *recorder.Recorder) error) {
 	cmd := a.Command(name, help)
 	settings := cmd.Flag("settings", "Settings file (JSON with comments).").Required().ExistingFile()
 	cmd.Action(func(*kingpin.ParseContext) error {
@@ -24,6 +24,7 @@
 		if err != nil {
 			return usageError{err}
 		}
-		return a.run(func(ctx context.Context, rec *recorder.Recorder) error { return run(ctx, cfg, rec) })
+		source := runner.Source[T]{Path: *settings, Settings: cfg}
+		return a.run(func(ctx context.Context, rec *recorder.Recorder) error { return run(ctx, source, rec) })
 	})
 }
--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -34,7 +34,8 @@
 )
 
 // Agent runs an agent until ctx ends and its requests are finished.
-func Agent(ctx context.Context, cfg parser.Agent, rec *recorder.Recorder) error {
+func Agent(ctx context.Context, source Source[parser.Agent], rec *recorder.Recorder) error {
+	cfg := source.Settings
 	keys, err := loader.Load(cfg.Keys)
 	if err != nil {
 		return err
@@ -43,7 +44,7 @@
 	if err != nil {
 		return eris.Wrap(err, "service_certificate_file")
 	}
-	reload := reloadOnHangup(rec, keys, pair)
+	reload := newReload(source, rec, keys, pair)
 	n, err := newNode(cfg.Node, registrar.RoleAgent, keys, rec)
 	if err != nil {
 		return err
@@ -68,10 +69,11 @@
 	if err := a.responder.Run(); err != nil {
 		return err
 	}
+	reload.setters = a.setters()
 	// Heartbeats continue while the agent drains, because its lease must stay valid.
 	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
-	g.run(reload)
+	g.run(reload.run)
 	g.run(e.Run)
 	g.run((&connector.Server{Address: cfg.ControlAddress, TLS: keys.Server, Claims: a.owner}).Run)
 	g.run(a.expire)
@@ -85,7 +87,7 @@
 	rec.Info(recorder.StopBegun)
 	n.heartbeatNow()
 	awaitNoNewFlows(g, a.tracker)
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(cfg.Drain))
+	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.drain.get())
 	defer cancel()
 	err = a.responder.Shutdown(drain, a.handler.InFlight)
 	sendFinalBatch(g, n, a.meter)
@@ -121,6 +123,9 @@
 	pool      *responder.Pool
 	handler   *responder.Handler
 	responder *responder.Responder
+	// slots and drain are the settings in force.
+	slots atomic.Uint32
+	drain span
 	// stopped is true once no flows are left at a planned stop.
 	stopped atomic.Bool
 }
@@ -156,16 +161,30 @@
 		DataAddress: cfg.BindData(), Upstream: cfg.UpstreamAddress, Newer: n.newer,
 		Handler: &meteredHandler{next: a.handler, meter: a.meter, service: cfg.Service, customers: a.tracker},
 	}
-	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, a.counter}
+	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, a.counter, n}
 	n.meter(a.meter)
 	n.describe = a.describe
+	a.slots.Store(uint32(cfg.Slots))
+	a.drain.set(cfg.Drain)
 	return a
 }
 
+// setters put the fields of an agent into force that can be reloaded.
+func (a *agent) setters() setters[parser.Agent] {
+	return setters[parser.Agent]{
+		"lease_expired": func(cfg parser.Agent) { a.node.setLeaseExpired(cfg.LeaseExpired) },
+		"slots": func(cfg parser.Agent) {
+			a.slots.Store(uint32(cfg.Slots))
+			a.admission.limiter.SetSlots(time.Now(), cfg.Slots)
+		},
+		"drain": func(cfg parser.Agent) { a.drain.set(cfg.Drain) },
+	}
+}
+
 // describe completes a heartbeat.
 func (a *agent) describe(h *leaser.Heartbeat) {
 	h.Announcement = &leaser.Announcement{
-		Upstream: a.cfg.Upstream, Service: a.cfg.Service, Slots: a.cfg.Slots,
+		Upstream: a.cfg.Upstream, Service: a.cfg.Service, Slots: registrar.Slots(a.slots.Load()),
 		Weight:     a.admission.limiter.Weight(time.Now()),
 		OldestFlow: a.tracker.Stats().Oldest, Draining: a.node.stopping.Load(),
 	}
--- a/internal/cli/runner/burn.go
+++ b/internal/cli/runner/burn.go
@@ -117,12 +117,18 @@
 
 func newCollector(cfg parser.Control) *burner.Collector {
 	c := &burner.Collector{Instance: cfg.Name}
+	c.SetObjectives(time.Time{}, objectivesOf(cfg))
+	return c
+}
+
+func objectivesOf(cfg parser.Control) []burner.Objective {
+	var all []burner.Objective
 	for _, o := range cfg.Objectives {
-		c.Objectives = append(c.Objectives, burner.Objective{
+		all = append(all, burner.Objective{
 			Service: o.Service, Customer: o.Customer, Answered: o.Answered, Fast: o.Fast, FastWithin: time.Duration(o.FastWithin),
 		})
 	}
-	return c
+	return all
 }
 
 // burnReport returns the report of this instance about the services and upstreams of the configuration.
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -14,6 +14,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
 	"github.com/peridotstage/peridotstage/internal/front/administrator"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
+	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
@@ -31,12 +32,13 @@
 }
 
 // Control runs a control instance until ctx ends.
-func Control(ctx context.Context, cfg parser.Control, rec *recorder.Recorder) error {
+func Control(ctx context.Context, source Source[parser.Control], rec *recorder.Recorder) error {
+	cfg := source.Settings
 	keys, err := loader.Load(cfg.Keys)
 	if err != nil {
 		return err
 	}
-	reload := reloadOnHangup(rec, keys)
+	reload := newReload(source, rec, keys)
 	updates := &publisher.Publisher{}
 	ledger := planner.NewLedger(updates)
 	peers := &connector.Peers{TLS: keys.Client, Recorder: rec}
@@ -64,6 +66,7 @@
 		return err
 	}
 	burns := newCollector(cfg)
+	reload.setters = controlSetters(burns)
 	report := burnReport(burns, ledger.World)
 	if err := errors.Join(exportControl(e, ledger.World, sessions), exportBurn(e, report)); err != nil {
 		return err
@@ -85,8 +88,15 @@
 	}).Run)
 	g.run(announcements.run)
 	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: log, Recorder: rec}).run)
-	g.run(reload)
+	g.run(reload.run)
 	g.run(e.Run)
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
 }
+
+// controlSetters put the fields of a control instance into force that can be reloaded.
+func controlSetters(burns *burner.Collector) setters[parser.Control] {
+	return setters[parser.Control]{
+		"objectives": func(cfg parser.Control) { burns.SetObjectives(time.Now(), objectivesOf(cfg)) },
+	}
+}
--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -17,12 +17,13 @@
 )
 
 // Entry runs an entry until ctx ends.
-func Entry(ctx context.Context, cfg parser.Entry, rec *recorder.Recorder) error {
+func Entry(ctx context.Context, source Source[parser.Entry], rec *recorder.Recorder) error {
+	cfg := source.Settings
 	keys, err := loader.Load(cfg.Keys)
 	if err != nil {
 		return err
 	}
-	reload := reloadOnHangup(rec, keys)
+	reload := newReload(source, rec, keys)
 	n, err := newNode(cfg.Node, registrar.RoleEntry, keys, rec)
 	if err != nil {
 		return err
@@ -37,7 +38,7 @@
 		Decider: f, Counter: counts, Keys: keys.Data, DataAddress: cfg.BindData(), AddressMap: cfg.AddressMap, ResetKey: keys.ResetKey,
 		Recorder: rec, Newer: n.newer,
 	}
-	n.subscriber.Enforcers = []subscriber.Enforcer{f, l, counts}
+	n.subscriber.Enforcers = []subscriber.Enforcer{f, l, counts, n}
 	n.meter(meter)
 	n.describe = func(*leaser.Heartbeat) {}
 	e, err := newExporter(cfg.Machine, func(now time.Time) error {
@@ -53,10 +54,13 @@
 		return err
 	}
 	defer l.Stop()
+	linger := &span{}
+	linger.set(cfg.Linger)
+	reload.setters = entrySetters(n, linger)
 	// The entry keeps its lease and goes on forwarding while it lingers.
 	g := newGroup(context.WithoutCancel(ctx))
 	g.run(n.run)
-	g.run(reload)
+	g.run(reload.run)
 	g.run(e.Run)
 	rec.Info(recorder.MachineStarted)
 	select {
@@ -66,8 +70,16 @@
 	}
 	n.stopping.Store(true)
 	rec.Info(recorder.StopBegun)
-	g.pause(time.Duration(cfg.Linger))
+	g.pause(linger.get())
 	sendFinalBatch(g, n, meter)
 	g.cancel(nil)
 	return g.wait()
 }
+
+// entrySetters put the fields of an entry into force that can be reloaded.
+func entrySetters(n *node, linger *span) setters[parser.Entry] {
+	return setters[parser.Entry]{
+		"lease_expired": func(cfg parser.Entry) { n.setLeaseExpired(cfg.LeaseExpired) },
+		"linger":        func(cfg parser.Entry) { linger.set(cfg.Linger) },
+	}
+}
--- a/internal/cli/runner/group.go
+++ b/internal/cli/runner/group.go
@@ -3,9 +3,18 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/peridotstage/peridotstage/internal/setting/parser"
 )
 
+// span is a time span that settings can change.
+type span struct{ d atomic.Int64 }
+
+func (s *span) set(d parser.Duration) { s.d.Store(int64(d)) }
+func (s *span) get() time.Duration    { return time.Duration(s.d.Load()) }
+
 // group runs functions until the first one fails or the context ends.
 type group struct {
 	ctx    context.Context
--- a/internal/cli/runner/node.go
+++ b/internal/cli/runner/node.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,9 @@
 	// counts holds the evidence, which reporter picks from.
 	counts   *counter.Counter
 	reporter subscriber.Reporter
+	// expiryMu guards serves, which is the choice of lease_expired in the settings.
+	expiryMu sync.Mutex
+	serves   bool
 	// digest is the hash of the configuration; 0 until the first reply.
 	digest uint64
 }
@@ -69,11 +73,9 @@
 		machine: registrar.Machine{
 			Name: cfg.Name, Role: role, Zone: cfg.Zone, DataAddress: cfg.DataAddress,
 			ControlAddress: cfg.ControlAddress, Incarnation: incarnation,
-			ServesExpired: cfg.LeaseExpired == parser.LeaseExpiredServe,
-		},
-		subscriber: &subscriber.Subscriber{
-			World: registrar.NewWorld(), ServeExpired: cfg.LeaseExpired == parser.LeaseExpiredServe,
 		},
+		subscriber: &subscriber.Subscriber{World: registrar.NewWorld()},
+		serves:     cfg.LeaseExpired == parser.LeaseExpiredServe,
 	}
 	for _, a := range preferred(cfg.Name, cfg.Control) {
 		n.clients = append(n.clients, &connector.Client{Address: a, TLS: keys.Client})
@@ -98,6 +100,35 @@
 	return append(append([]netip.AddrPort(nil), control[first:]...), control[:first]...)
 }
 
+// setLeaseExpired changes what the node does without a lease.
+func (n *node) setLeaseExpired(v parser.LeaseExpired) {
+	n.expiryMu.Lock()
+	n.serves = v == parser.LeaseExpiredServe
+	n.permitServing()
+	n.expiryMu.Unlock()
+	n.heartbeatNow()
+}
+
+func (n *node) servesExpired() bool {
+	n.expiryMu.Lock()
+	defer n.expiryMu.Unlock()
+	return n.serves
+}
+
+// Update lets the node serve without a lease once the configuration says that it does.
+func (n *node) Update(*registrar.World) {
+	n.expiryMu.Lock()
+	defer n.expiryMu.Unlock()
+	n.permitServing()
+}
+
+// permitServing waits for the log before the node serves without a lease, because a proof concludes from the log that a missing
+// node is fenced. A node that is to fence does so at once.
+func (n *node) permitServing() {
+	m, ok := n.subscriber.World.Machine(n.machine.Name)
+	n.subscriber.ServeExpired(n.serves && ok && m.ServesExpired && m.Incarnation == n.machine.Incarnation)
+}
+
 // newer asks for a heartbeat if another machine has a newer revision.
 func (n *node) newer(r registrar.Revision) {
 	if r <= n.subscriber.World.Revision() {
@@ -151,9 +182,8 @@
 func (n *node) heartbeat(ctx context.Context, c *connector.Client) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	h := leaser.Heartbeat{
-		Machine: n.machine, Revision: n.subscriber.World.Revision(), ServeExpired: n.subscriber.ServeExpired,
-	}
+	h := leaser.Heartbeat{Machine: n.machine, Revision: n.subscriber.World.Revision(), ServeExpired: n.servesExpired()}
+	h.Machine.ServesExpired = h.ServeExpired
 	// The revision is read before the counts, so that the counts are never older than the revision that they are sent with.
 	report := n.reporter.Next(n.counts.Evidence())
 	h.Sequence, h.EvidenceBase, h.Evidence, h.Digest = report.Sequence, report.Base, report.Evidence, n.digest
--- a/internal/control/leaser/proof.go
+++ b/internal/control/leaser/proof.go
@@ -173,6 +173,9 @@
 			starts = append(starts, Session{Heartbeat: Heartbeat{Machine: m, ServeExpired: m.ServesExpired}})
 		}
 		for _, s := range starts {
+			// A node acts on a changed lease_expired once the log has it. The instance that heard of the change may have restarted
+			// since, so that only an older session is left.
+			s.ServeExpired = s.ServeExpired || m.ServesExpired && s.Machine.Incarnation == m.Incarnation
 			all = append(all, c.prove(now, s))
 		}
 	}
--- a/internal/control/leaser/proof_test.go
+++ b/internal/control/leaser/proof_test.go
@@ -71,6 +71,9 @@
 			func(_ *Case, s *Session) { s.HeardAt = t0.Add(-2600 * time.Millisecond) }, "may hold a lease until",
 		},
 		"serves without a lease": {func(_ *Case, s *Session) { gone(s); s.ServeExpired = true }, "serves without a lease"},
+		"serves without a lease by the log, older session": {
+			func(c *Case, s *Session) { gone(s); c.Machines[0].ServesExpired = true }, "serves without a lease",
+		},
 		"never heard": {
 			func(c *Case, _ *Session) {
 				c.Instances[0].Sessions = nil
--- a/internal/control/subscriber/subscriber.go
+++ b/internal/control/subscriber/subscriber.go
@@ -43,9 +43,9 @@
 type Subscriber struct {
 	World     *registrar.World
 	Enforcers []Enforcer
-	// ServeExpired lets the node act without a lease once it has had one.
-	ServeExpired bool
 
+	// serveExpired lets the node act without a lease once it has had one.
+	serveExpired atomic.Bool
 	// mu orders replies.
 	mu sync.Mutex
 	// expireAt is when the lease ends; nil before the first grant.
@@ -105,9 +105,12 @@
 	if until == nil {
 		return false
 	}
-	return s.ServeExpired || now.Before(*until)
+	return s.serveExpired.Load() || now.Before(*until)
 }
 
+// ServeExpired sets whether the node may act without a lease once it has had one.
+func (s *Subscriber) ServeExpired(allowed bool) { s.serveExpired.Store(allowed) }
+
 // ExpireAt returns when the lease ends; the zero time before the first grant.
 func (s *Subscriber) ExpireAt() time.Time {
 	if until := s.expireAt.Load(); until != nil {
--- a/internal/fake/deployer/deployer.go
+++ b/internal/fake/deployer/deployer.go
@@ -434,7 +434,7 @@
 // Thaw lets a frozen process run again.
 func (p *Process) Thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
 
-// Hangup asks the process to read its key files again.
+// Hangup asks the process to read its settings and key files again.
 func (p *Process) Hangup() { _ = p.cmd.Process.Signal(syscall.SIGHUP) }
 
 // Terminate asks for a planned stop without waiting for it.
--- a/internal/report/burner/burner_test.go
+++ b/internal/report/burner/burner_test.go
@@ -12,10 +12,16 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
+func newCollector(all ...Objective) *Collector {
+	c := &Collector{}
+	c.SetObjectives(time.Time{}, all)
+	return c
+}
+
 // TestNoRequestLost guards against requests that are lost or counted twice when heartbeats or their replies are lost.
 func TestNoRequestLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := &Collector{Objectives: []Objective{{Service: "s", Answered: 0.9, Fast: 0.9, FastWithin: 10 * time.Millisecond}}}
+		c := newCollector([]Objective{{Service: "s", Answered: 0.9, Fast: 0.9, FastWithin: 10 * time.Millisecond}}...)
 		m := &Meter{StartedAt: start}
 		agent := registrar.Machine{Name: "a", Incarnation: 1}
 		now := start
@@ -82,7 +88,7 @@
 		"instance covers an hour": {0, 0, 120, 0, false, OK, Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
-			col := &Collector{Objectives: []Objective{{Service: "s", Answered: 0.99, Fast: 0.99, FastWithin: time.Second}}}
+			col := newCollector([]Objective{{Service: "s", Answered: 0.99, Fast: 0.99, FastWithin: time.Second}}...)
 			var number uint64
 			for minute := c.since; minute >= c.last; minute-- {
 				counts := CustomerCounts{Service: "s", Customer: "estate"}
@@ -112,7 +118,7 @@
 	expected := Expected{Agents: map[registrar.ServiceName][]registrar.MachineName{"s": {"a"}}, Entries: []registrar.MachineName{"b"}}
 	var reports []Report
 	for i, agent := range []registrar.MachineName{"a", "b"} {
-		c := &Collector{Objectives: []Objective{{Service: "s", Answered: 0.99, Fast: 0.99, FastWithin: time.Second}}}
+		c := newCollector([]Objective{{Service: "s", Answered: 0.99, Fast: 0.99, FastWithin: time.Second}}...)
 		b := &Batch{Number: 1, StartedAt: start, Customers: []CustomerCounts{{Service: "s", Customer: "estate", Failed: uint64(i + 1)}}}
 		c.Record(start, registrar.Machine{Name: agent}, b)
 		r := c.Report(start, expected)
@@ -124,3 +130,36 @@
 	require.Len(t, all.Lines, 2)
 	require.Equal(t, RequestCounts{Requests: 3, Failed: 3}, all.Lines[1].Windows[0].Short)
 }
+
+// TestChangedObjective guards against counts by an earlier bound that are judged by a new one, and against a green line that
+// leaves out the requests before the change.
+func TestChangedObjective(t *testing.T) {
+	bound := func(d time.Duration) Objective {
+		return Objective{Service: "s", Answered: 0.9, Fast: 0.9, FastWithin: d}
+	}
+	c := newCollector(bound(time.Second))
+	batch := &Batch{Number: 1, StartedAt: start.Add(-24 * time.Hour), Customers: []CustomerCounts{{Service: "s", Customer: "estate"}}}
+	batch.Customers[0].Answered[0] = 100
+	expected := Expected{Agents: map[registrar.ServiceName][]registrar.MachineName{"s": {"a"}}}
+	requests := func() uint64 {
+		r := c.Report(start, expected)
+		return r.Lines[len(r.Lines)-1].Windows[0].Long.Requests
+	}
+	c.Record(start.Add(-time.Minute), registrar.Machine{Name: "a"}, batch)
+	stricter := bound(time.Second)
+	stricter.Answered = 0.99
+	c.SetObjectives(start, []Objective{stricter})
+	require.EqualValues(t, 100, requests(), "a change of the share drops counts that it can judge")
+	c.SetObjectives(start, []Objective{bound(time.Millisecond)})
+	require.Zero(t, requests())
+	batch.Number++
+	c.Record(start, registrar.Machine{Name: "a"}, batch)
+	r := c.Report(start, expected)
+	for _, f := range r.Judge() {
+		require.Equal(t, Unknown, f.Verdict)
+		require.Contains(t, f.Missing[0], "judged by this objective only since")
+	}
+	other := newCollector(bound(time.Second)).Report(start, expected)
+	merged := Merge([]Report{r, other})
+	require.Contains(t, merged.Judge()[0].Missing, "control instances have different objectives")
+}
--- a/internal/report/burner/collector.go
+++ b/internal/report/burner/collector.go
@@ -66,6 +66,8 @@
 type lineShard struct {
 	mu    sync.Mutex
 	lines map[lineKey]*series
+	// since is when the objective of a line changed; that of the whole service holds for all its lines.
+	since map[lineKey]time.Time
 }
 
 type nodeShard struct {
@@ -75,9 +77,11 @@
 
 // Collector adds up batches at one control instance. The exported fields are set before first use.
 type Collector struct {
-	Instance   registrar.MachineName
-	Objectives []Objective
+	Instance registrar.MachineName
 
+	// objectiveMu is held for reading while a batch is recorded, so that all of its counts are reduced by the same objectives.
+	objectiveMu sync.RWMutex
+	objectives  []Objective
 	// lines are selected by service name, nodes by machine name.
 	lines [shardCount]lineShard
 	nodes [shardCount]nodeShard
@@ -91,29 +95,18 @@
 	return &c.nodes[xxhash.Sum64String(string(name))%shardCount]
 }
 
-// objective returns the objective of a service and customer.
-func (c *Collector) objective(k lineKey) (Objective, bool) {
-	var found Objective
-	ok := false
-	for _, o := range c.Objectives {
-		if o.Service == k.service && (o.Customer == k.customer || o.Customer == "" && !ok) {
-			found, ok = o, true
-		}
-	}
-	found.Customer = k.customer
-	return found, ok
-}
-
 // Record adds a batch of a node. A batch that was recorded before is ignored.
 func (c *Collector) Record(now time.Time, m registrar.Machine, b *Batch) {
 	if !c.nodeShard(m.Name).accept(now, m, b) {
 		return
 	}
+	c.objectiveMu.RLock()
+	defer c.objectiveMu.RUnlock()
 	for _, counts := range b.Customers {
 		s := c.lineShard(counts.Service)
 		s.mu.Lock()
 		for _, k := range []lineKey{{counts.Service, counts.Customer}, {counts.Service, ""}} {
-			if o, ok := c.objective(k); ok {
+			if o, ok := objectiveFor(c.objectives, k); ok {
 				s.line(k).add(slotOf(now), o.reduce(counts))
 			}
 		}
@@ -160,12 +153,14 @@
 
 // Report returns what this instance has collected.
 func (c *Collector) Report(now time.Time, e Expected) Report {
+	c.objectiveMu.RLock()
+	defer c.objectiveMu.RUnlock()
 	r := Report{At: now, Instances: []registrar.MachineName{c.Instance}}
 	for _, name := range e.Entries {
 		r.Nodes = append(r.Nodes, c.nodeData(name, ""))
 	}
 	for service, machines := range e.Agents {
-		if _, ok := c.objective(lineKey{service, ""}); !ok {
+		if _, ok := objectiveFor(c.objectives, lineKey{service, ""}); !ok {
 			r.WithoutObjective = append(r.WithoutObjective, service)
 			continue
 		}
@@ -203,8 +198,10 @@
 	}
 	var all []Line
 	for _, k := range keys {
-		o, _ := c.objective(k)
-		all = append(all, newLine(now, o, s.lines[k]))
+		o, _ := objectiveFor(c.objectives, k)
+		l := newLine(now, o, s.lines[k])
+		l.Since = s.judgedSince(k.service, k.customer)
+		all = append(all, l)
 	}
 	return all
 }
--- /dev/null
+++ b/internal/report/burner/judging.go
@@ -0,0 +1,72 @@
+package burner
+
+import (
+	"time"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// objectiveFor returns the objective of a service and customer.
+func objectiveFor(all []Objective, k lineKey) (Objective, bool) {
+	var found Objective
+	ok := false
+	for _, o := range all {
+		if o.Service == k.service && (o.Customer == k.customer || o.Customer == "" && !ok) {
+			found, ok = o, true
+		}
+	}
+	found.Customer = k.customer
+	return found, ok
+}
+
+// SetObjectives replaces the objectives. Counts hold only the requests that were slow by the objective in force, so counts that
+// a new fast_within contradicts are dropped, and reports say since when a line is judged.
+func (c *Collector) SetObjectives(now time.Time, next []Objective) {
+	c.objectiveMu.Lock()
+	defer c.objectiveMu.Unlock()
+	old := c.objectives
+	c.objectives = next
+	for i := range c.lines {
+		c.lines[i].rejudge(now, old, next)
+	}
+	for _, o := range next {
+		k := lineKey{o.Service, ""}
+		if _, ok := objectiveFor(old, lineKey{o.Service, o.Customer}); ok {
+			continue
+		}
+		s := c.lineShard(o.Service)
+		s.mu.Lock()
+		s.judgeFrom(k, now)
+		s.mu.Unlock()
+	}
+}
+
+// rejudge drops the lines whose slow requests were counted by another bound.
+func (s *lineShard) rejudge(now time.Time, old, next []Objective) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.lines {
+		before, _ := objectiveFor(old, k)
+		after, ok := objectiveFor(next, k)
+		if !ok || before.FastWithin != after.FastWithin {
+			delete(s.lines, k)
+			s.judgeFrom(k, now)
+		}
+	}
+}
+
+func (s *lineShard) judgeFrom(k lineKey, at time.Time) {
+	if s.since == nil {
+		s.since = map[lineKey]time.Time{}
+	}
+	s.since[k] = at
+}
+
+// judgedSince returns when the objective of a line changed so that earlier requests are not counted; the zero time for never.
+func (s *lineShard) judgedSince(service registrar.ServiceName, customer registrar.CustomerName) time.Time {
+	at := s.since[lineKey{service, ""}]
+	if own := s.since[lineKey{service, customer}]; own.After(at) {
+		return own
+	}
+	return at
+}
--- a/internal/report/burner/report.go
+++ b/internal/report/burner/report.go
@@ -47,6 +47,10 @@
 	Answered   float64                `json:"objective_answered"`
 	Fast       float64                `json:"objective_fast"`
 	FastWithin string                 `json:"objective_fast_within"`
+	// Since is when the objective changed so that earlier requests are not counted; zero for never.
+	Since time.Time `json:"since,omitzero"`
+	// Differs says that control instances judge by different objectives.
+	Differs bool `json:"objectives_differ,omitempty"`
 	// Windows are ordered as the alert rules: fast, slow.
 	Windows [len(rules)]WindowCounts `json:"windows"`
 	// History has one element for each 5 minutes of the last 6 hours, oldest first.
@@ -104,6 +108,10 @@
 		return
 	}
 	have := &r.Lines[at]
+	have.Differs = have.Differs || l.Differs || have.objective() != l.objective()
+	if l.Since.After(have.Since) {
+		have.Since = l.Since
+	}
 	for i := range l.Windows {
 		have.Windows[i].Short.add(l.Windows[i].Short)
 		have.Windows[i].Long.add(l.Windows[i].Long)
@@ -113,6 +121,24 @@
 	}
 }
 
+func (l *Line) objective() Objective {
+	// The text comes from a duration, so it parses.
+	d, _ := time.ParseDuration(l.FastWithin)
+	return Objective{Service: l.Service, Customer: l.Customer, Answered: l.Answered, Fast: l.Fast, FastWithin: d}
+}
+
+// missing returns why the counts of a line do not cover a window, beside the data of nodes that is missing.
+func (l *Line) missing(at time.Time, window time.Duration) []string {
+	var all []string
+	if l.Differs {
+		all = append(all, "control instances have different objectives")
+	}
+	if l.Since.After(at.Add(-window)) {
+		all = append(all, fmt.Sprintf("judged by this objective only since %s", l.Since.UTC().Format(time.TimeOnly)))
+	}
+	return all
+}
+
 // mergeNode joins the times in which instances heard a node. A node moves to the next instance within seconds, so a
 // gap between two instances needs no record of its own.
 func (r *Report) mergeNode(a NodeData) {
@@ -188,7 +214,7 @@
 				FailedLong:  burn(w.Long.Failed, w.Long.Requests, l.Answered),
 				SlowShort:   burn(w.Short.Slow, w.Short.Requests, l.Fast),
 				SlowLong:    burn(w.Long.Slow, w.Long.Requests, l.Fast),
-				Requests:    w.Long.Requests, Missing: missing[i],
+				Requests:    w.Long.Requests, Missing: append(l.missing(r.At, rule.long), missing[i]...),
 			}
 			f.Verdict = f.conclude()
 			all = append(all, f)
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -20,6 +20,9 @@
 	KeysReloaded     = Event{1101, "key files read again"}
 	ReloadFailed     = Event{1102, "cannot read key files again"}
 	StopBegun        = Event{1103, "planned stop begun"}
+	SettingsReloaded = Event{1104, "settings file read again"}
+	SettingsRefused  = Event{1105, "settings file refused"}
+	NeedsRestart     = Event{1106, "changed setting needs a restart"}
 	HeartbeatFailed  = Event{2001, "heartbeat failed"}
 	RevisionEnforced = Event{2002, "revision enforced"}
 	AnnounceRefused  = Event{2003, "announcement refused"}
--- a/internal/secret/loader/loader.go
+++ b/internal/secret/loader/loader.go
@@ -78,32 +78,50 @@
 // Load reads the files that the settings name.
 func Load(files parser.Keys) (*Material, error) {
 	m := &Material{files: files, Data: &encoder.Keyring{}, Stamper: &stamper.Stamper{}}
-	d, err := m.read()
+	id, d, err := m.read()
+	if err != nil {
+		return m, err
+	}
+	m.put(id, d)
 	m.ResetKey = d.reset
-	return m, err
+	return m, nil
+}
+
+// Prepare reads all files again. What they hold is in force once commit is called.
+func (m *Material) Prepare() (commit func(), err error) {
+	id, d, err := m.read()
+	return func() { m.put(id, d) }, err
 }
 
 // Reload reads all files again. If one of them is not acceptable, everything stays as it was.
-func (m *Material) Reload() error {
-	_, err := m.read()
+func (m *Material) Reload() error { return reload(m.Prepare) }
+
+func reload(prepare func() (func(), error)) error {
+	commit, err := prepare()
+	if err == nil {
+		commit()
+	}
 	return err
 }
 
-func (m *Material) read() (dataKeys, error) {
+func (m *Material) read() (*identity, dataKeys, error) {
 	id, err := readIdentity(m.files)
 	if err != nil {
-		return dataKeys{}, err
+		return nil, dataKeys{}, err
 	}
 	var d dataKeys
 	if m.files.Data != "" {
-		if d, err = readDataKeys(m.files.Data); err != nil {
-			return dataKeys{}, err
-		}
+		d, err = readDataKeys(m.files.Data)
+	}
+	return id, d, err
+}
+
+func (m *Material) put(id *identity, d dataKeys) {
+	if m.files.Data != "" {
 		m.Data.Replace(d.datagram)
 		m.Stamper.Rotate(d.connectionIDs)
 	}
 	m.identity.Store(id)
-	return d, nil
 }
 
 // Server returns a configuration that accepts only peers with a certificate of an authority.
--- a/internal/secret/loader/pair.go
+++ b/internal/secret/loader/pair.go
@@ -19,15 +19,17 @@
 	return p, p.Reload()
 }
 
-// Reload reads the files again. If they are not acceptable, the pair stays as it was.
-func (p *Pair) Reload() error {
+// Prepare reads the files again. What they hold is in force once commit is called.
+func (p *Pair) Prepare() (commit func(), err error) {
 	c, err := tls.LoadX509KeyPair(p.certificateFile, p.keyFile)
 	if err != nil {
-		return eris.Wrapf(ErrInvalid, "certificate %s, private key %s: %v", p.certificateFile, p.keyFile, err)
+		return nil, eris.Wrapf(ErrInvalid, "certificate %s, private key %s: %v", p.certificateFile, p.keyFile, err)
 	}
-	p.current.Store(&c)
-	return nil
+	return func() { p.current.Store(&c) }, nil
 }
 
+// Reload reads the files again. If they are not acceptable, the pair stays as it was.
+func (p *Pair) Reload() error { return reload(p.Prepare) }
+
 // Get returns the certificate for a new connection.
 func (p *Pair) Get(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.current.Load(), nil }
--- a/internal/setting/parser/decode.go
+++ b/internal/setting/parser/decode.go
@@ -55,7 +55,7 @@
 // Parse decodes and checks the content of a settings file. file is used in problems only.
 func Parse[T any](file string, content []byte) (T, error) {
 	var cfg T
-	d := &decoder{file: file, content: content}
+	d := &decoder{file: file, content: content, lines: map[string]int{}}
 	root, err := hujson.Parse(content)
 	if err != nil {
 		return cfg, Problems{{File: file, Line: 1, Value: err.Error(), Want: "JSON with comments"}}
@@ -64,7 +64,8 @@
 	d.decode(&root, v, "", rule{})
 	if checker, ok := any(&cfg).(crossChecker); ok && len(d.problems) == 0 {
 		for _, m := range checker.crossCheck() {
-			d.problems = append(d.problems, Problem{File: file, Line: 1, Path: m.path, Value: m.value, Want: m.want})
+			line := max(d.lines[m.path], 1)
+			d.problems = append(d.problems, Problem{File: file, Line: line, Path: m.path, Value: m.value, Want: m.want})
 		}
 	}
 	if len(d.problems) > 0 {
@@ -79,11 +80,16 @@
 	file     string
 	content  []byte
 	problems Problems
+	// lines has the line of each field that was found.
+	lines map[string]int
+}
+
+func (d *decoder) line(v *hujson.Value) int {
+	return 1 + bytes.Count(d.content[:min(v.StartOffset, len(d.content))], []byte("\n"))
 }
 
 func (d *decoder) fail(v *hujson.Value, path, value, want string) {
-	line := 1 + bytes.Count(d.content[:min(v.StartOffset, len(d.content))], []byte("\n"))
-	d.problems = append(d.problems, Problem{File: d.file, Line: line, Path: path, Value: value, Want: want})
+	d.problems = append(d.problems, Problem{File: d.file, Line: d.line(v), Path: path, Value: value, Want: want})
 }
 
 // shown is a value as it stands in the file, shortened.
@@ -96,6 +102,7 @@
 }
 
 func (d *decoder) decode(v *hujson.Value, to reflect.Value, path string, r rule) {
+	d.lines[path] = d.line(v)
 	switch {
 	case isText(to.Type()):
 		d.leaf(v, to, path, r)
--- a/internal/setting/parser/field.go
+++ b/internal/setting/parser/field.go
@@ -21,6 +21,8 @@
 	// min and max bound the number of elements; max is 0 without a bound.
 	min, max int
 	doc      string
+	// reload fields take effect in a running process.
+	reload bool
 	// nested is the type below the field if it has fields itself.
 	nested reflect.Type
 }
@@ -43,7 +45,7 @@
 }
 
 func newField(i int, sf reflect.StructField) field {
-	f := field{index: []int{i}, rule: rules[sf.Tag.Get("rule")], doc: sf.Tag.Get("doc")}
+	f := field{index: []int{i}, rule: rules[sf.Tag.Get("rule")], doc: sf.Tag.Get("doc"), reload: sf.Tag.Get("reload") == "yes"}
 	f.name, _, _ = strings.Cut(sf.Tag.Get("json"), ",")
 	fallback, optional := sf.Tag.Lookup("default")
 	f.fallback, f.required = fallback, !optional
@@ -60,6 +62,9 @@
 	return f
 }
 
+// groups reports whether the field is an object that only groups other fields.
+func (f field) groups() bool { return f.nested != nil && f.doc == "" }
+
 func names(fields []field) string {
 	var all []string
 	for _, f := range fields {
@@ -92,17 +97,18 @@
 
 // WriteFields writes a Markdown table of the settings of a type.
 func WriteFields[T any](w io.Writer) error {
-	if _, err := fmt.Fprintln(w, "| field | default | allowed | meaning |\n|---|---|---|---|"); err != nil {
+	if _, err := fmt.Fprintln(w, "| field | default | allowed | reload | meaning |\n|---|---|---|---|---|"); err != nil {
 		return err
 	}
-	return writeFields(w, reflect.TypeFor[T](), "")
+	return writeFields(w, reflect.TypeFor[T](), "", false)
 }
 
-func writeFields(w io.Writer, t reflect.Type, path string) error {
+// writeFields writes the rows of a type. The elements of a list that can be reloaded can be reloaded as well.
+func writeFields(w io.Writer, t reflect.Type, path string, reload bool) error {
 	for _, f := range fieldsOf(t) {
 		name := join(path, f.name)
-		if f.nested != nil && f.doc == "" {
-			if err := writeFields(w, f.nested, name); err != nil {
+		if f.groups() {
+			if err := writeFields(w, f.nested, name, reload); err != nil {
 				return err
 			}
 			continue
@@ -114,11 +120,15 @@
 		case fallback == "":
 			fallback = "none"
 		}
-		if _, err := fmt.Fprintf(w, "| `%s` | %s | %s | %s |\n", name, fallback, f.describe(), f.doc); err != nil {
+		takes := "restart"
+		if f.reload || reload {
+			takes = "yes"
+		}
+		if _, err := fmt.Fprintf(w, "| `%s` | %s | %s | %s | %s |\n", name, fallback, f.describe(), takes, f.doc); err != nil {
 			return err
 		}
 		if f.nested != nil {
-			if err := writeFields(w, f.nested, name+"[]"); err != nil {
+			if err := writeFields(w, f.nested, name+"[]", f.reload || reload); err != nil {
 				return err
 			}
 		}
--- a/internal/setting/parser/settings.go
+++ b/internal/setting/parser/settings.go
@@ -1,5 +1,6 @@
 // Package parser reads and checks settings files, which are JSON with comments and trailing commas. Each field carries its
-// rule, its default and its description as tags: a field without a default is required.
+// rule, its default, its description and whether a running process can take a new value as tags: a field without a default is
+// required, and one without reload:"yes" needs a restart.
 package parser
 
 import (
@@ -61,7 +62,7 @@
 	DataAddress  netip.AddrPort   `json:"data_address" rule:"address" doc:"where the machine takes datagrams of other machines (UDP)"`
 	LocalData    netip.AddrPort   `json:"local_data_address" rule:"address" default:"" doc:"local address to bind for data_address where the platform maps it; without it data_address itself is bound"`
 	Control      []netip.AddrPort `json:"control" rule:"address" min:"1" max:"64" doc:"control addresses of the control instances and their replicas"`
-	LeaseExpired LeaseExpired     `json:"lease_expired" rule:"lease_expired" default:"fence" doc:"what to do without a valid lease: fence passes nothing; serve goes on with the last configuration, and proofs then say that nothing is proved"`
+	LeaseExpired LeaseExpired     `json:"lease_expired" rule:"lease_expired" default:"fence" reload:"yes" doc:"what to do without a valid lease: fence passes nothing; serve goes on with the last configuration, and proofs then say that nothing is proved"`
 }
 
 // BindData returns the address to bind for datagrams of other machines.
@@ -76,7 +77,7 @@
 type Entry struct {
 	Node
 	AddressMap map[netip.Addr]netip.Addr `json:"address_map" rule:"ip" default:"" doc:"local address to bind for the IP address of a service; a service address without one is bound itself"`
-	Linger     Duration                  `json:"linger" rule:"linger" default:"5s" doc:"how long the entry goes on forwarding at a planned stop after it has reported that it is not ready"`
+	Linger     Duration                  `json:"linger" rule:"linger" default:"5s" reload:"yes" doc:"how long the entry goes on forwarding at a planned stop after it has reported that it is not ready"`
 }
 
 // Agent holds the settings of an agent.
@@ -85,10 +86,10 @@
 	Upstream           registrar.UpstreamName `json:"upstream" rule:"name" doc:"name of the upstream beside the agent, unique in the deployment"`
 	Service            registrar.ServiceName  `json:"service" rule:"name" doc:"service that the upstream belongs to"`
 	UpstreamAddress    netip.AddrPort         `json:"upstream_address" rule:"address" doc:"where the upstream listens"`
-	Slots              registrar.Slots        `json:"slots" rule:"slots" doc:"requests that the upstream serves at once"`
+	Slots              registrar.Slots        `json:"slots" rule:"slots" reload:"yes" doc:"requests that the upstream serves at once"`
 	ServiceCertificate string                 `json:"service_certificate_file" rule:"file" doc:"certificate of the service, which callers see"`
 	ServiceKey         string                 `json:"service_key_file" rule:"file" doc:"private key of the service's certificate"`
-	Drain              Duration               `json:"drain" rule:"drain" default:"60s" doc:"bound of the wait for requests in progress at a planned stop"`
+	Drain              Duration               `json:"drain" rule:"drain" default:"60s" reload:"yes" doc:"bound of the wait for requests in progress at a planned stop"`
 }
 
 // Control holds the settings of a control instance.
@@ -97,7 +98,7 @@
 	APIAddress netip.AddrPort                           `json:"api_address" rule:"address" doc:"where operators reach the intent API over HTTPS"`
 	DataFolder string                                   `json:"data_folder" rule:"file" doc:"folder of the durable state"`
 	Members    map[registrar.MachineName]netip.AddrPort `json:"members" rule:"address" min:"1" max:"9" doc:"control addresses of all control instances by name, this one included"`
-	Objectives []Objective                              `json:"objectives" min:"0" max:"10000" default:"" doc:"service levels that the burn report judges"`
+	Objectives []Objective                              `json:"objectives" min:"0" max:"10000" default:"" reload:"yes" doc:"service levels that the burn report judges"`
 }
 
 // Objective is a service level.
