--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -8,6 +8,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/listener"
+	"github.com/peridotstage/peridotstage/internal/front/spreader"
 	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/route/forwarder"
@@ -31,7 +32,7 @@
 	meter := &burner.Meter{StartedAt: time.Now()}
 	f := &forwarder.Forwarder{
 		Stamper: keys.Stamper, Lease: n.subscriber, Counter: counts, Entry: cfg.DataAddress,
-		Outages: meter,
+		Outages: meter, Spreader: spreader.HalfOfCores(),
 	}
 	l := &listener.Listener{
 		Decider: f, Counter: counts, Keys: keys.Data, DataAddress: cfg.BindData(), AddressMap: cfg.AddressMap, ResetKey: keys.ResetKey,
--- a/internal/fake/conductor/conductor.go
+++ b/internal/fake/conductor/conductor.go
@@ -14,6 +14,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
+	"github.com/peridotstage/peridotstage/internal/front/spreader"
 	"github.com/peridotstage/peridotstage/internal/route/carrier"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/forwarder"
@@ -149,7 +150,7 @@
 	}
 	e := &Entry{Node: Node{Machine: m, Subscriber: &subscriber.Subscriber{World: registrar.NewWorld()}}}
 	e.Forwarder = &forwarder.Forwarder{
-		Stamper: c.ids, Lease: e.Subscriber, Counter: &counter.Counter{}, Entry: m.DataAddress,
+		Stamper: c.ids, Lease: e.Subscriber, Counter: &counter.Counter{}, Entry: m.DataAddress, Spreader: spreader.Spreader(4),
 	}
 	e.Subscriber.Enforcers = []subscriber.Enforcer{e.Forwarder}
 	return e
--- a/internal/fake/measurer/capacity_test.go
+++ b/internal/fake/measurer/capacity_test.go
@@ -15,6 +15,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/publisher"
+	"github.com/peridotstage/peridotstage/internal/front/spreader"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
 	"github.com/peridotstage/peridotstage/internal/route/forwarder"
 	"github.com/peridotstage/peridotstage/internal/route/stamper"
@@ -96,13 +97,19 @@
 
 // measureWorld gives the memory and processor time of the configuration at a node, by number of upstreams.
 func measureWorld(t *testing.T, _ uint64) {
+	for _, workers := range []spreader.Spreader{1, 2, 4, spreader.HalfOfCores()} {
+		measureWorlds(t, workers)
+	}
+}
+
+func measureWorlds(t *testing.T, workers spreader.Spreader) {
 	for _, n := range []int{600, 1200, 2400, 4800, 7800} {
 		before := heapBytes()
 		start := time.Now()
 		w := buildWorld(t, n)
 		built := time.Since(start)
 		world := heapBytes() - before
-		f := &forwarder.Forwarder{Stamper: &stamper.Stamper{}, Lease: alwaysLeased{}, Counter: &counter.Counter{}}
+		f := &forwarder.Forwarder{Stamper: &stamper.Stamper{}, Lease: alwaysLeased{}, Counter: &counter.Counter{}, Spreader: workers}
 		start = time.Now()
 		f.Update(w)
 		first := time.Since(start)
@@ -131,8 +138,8 @@
 		digest := time.Since(start)
 		state, err := json.Marshal(w.State())
 		require.NoError(t, err)
-		t.Logf("upstreams %5d: build %s, full state %.1f MB as JSON, world %.1f MB, entry tables %.1f MB, first update %s, unchanged update %s, "+
-			"apply one change %s, update after one change %s, update after a zone withdrawal %s, digest %s", n, built.Round(time.Millisecond), float64(len(state))/1e6, float64(world)/1e6,
+		t.Logf("%d goroutines, upstreams %5d: build %s, full state %.1f MB as JSON, world %.1f MB, entry tables %.1f MB, first update %s, unchanged update %s, "+
+			"apply one change %s, update after one change %s, update after a zone withdrawal %s, digest %s", workers, n, built.Round(time.Millisecond), float64(len(state))/1e6, float64(world)/1e6,
 			float64(tables)/1e6, first.Round(time.Millisecond), again.Round(time.Microsecond), apply.Round(time.Microsecond),
 			update.Round(time.Microsecond), withdrawal.Round(time.Millisecond), digest.Round(time.Microsecond))
 		runtime.KeepAlive(f)
--- /dev/null
+++ b/internal/front/spreader/spreader_test.go
@@ -0,0 +1,31 @@
+package spreader_test
+
+import (
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/peridotstage/peridotstage/internal/front/spreader"
+)
+
+// TestEach guards against tasks that are skipped, run twice or run on more goroutines than the bound allows.
+func TestEach(t *testing.T) {
+	for _, bound := range []spreader.Spreader{0, 1, 3, 8} {
+		for _, n := range []int{0, 1, 2, 500} {
+			calls := make([]int, n)
+			var running, most atomic.Int32
+			bound.Each(n, func(i int) {
+				now := running.Add(1)
+				for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
+				}
+				calls[i]++
+				running.Add(-1)
+			})
+			for i := range calls {
+				require.Equal(t, 1, calls[i], "task %d of %d with bound %d", i, n, bound)
+			}
+			require.LessOrEqual(t, most.Load(), int32(max(1, bound)))
+		}
+	}
+}
--- a/internal/route/balancer/balancer.go
+++ b/internal/route/balancer/balancer.go
@@ -3,7 +3,6 @@
 
 import (
 	"encoding/binary"
-	"math"
 	"net/netip"
 	"slices"
 
@@ -30,131 +29,6 @@
 	Second registrar.UpstreamID
 }
 
-// Table maps the buckets of one generation to upstreams. It is immutable.
-type Table struct {
-	Revision registrar.Revision
-	// members are those of the generation, sorted by upstream id.
-	members []registrar.Member
-	// picks hold positions in members rather than upstream ids, which halves the largest part of an entry's memory.
-	picks [BucketCount]pick
-}
-
-// pick is a Choice as positions in the members of a table, counted from 1; 0 stands for none.
-type pick struct {
-	owner, second uint16
-}
-
-// maxMembers bounds the members of a generation that a table can hold.
-const maxMembers = math.MaxUint16
-
-// NewTable computes the table of a generation by weighted rendezvous hashing: a change of one member's weight moves
-// buckets only to or from that member (Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", SPAA 2005). With a
-// previous table, which may be nil, only the buckets that the difference can touch are computed again; the result is the
-// same. Without it, a zone withdrawal at 650 services took 2.6 s of processor time.
-func NewTable(service registrar.ServiceID, g registrar.Generation, previous *Table) *Table {
-	t := &Table{Revision: g.Revision, members: g.Members[:min(len(g.Members), maxMembers)]}
-	positions := make(map[registrar.UpstreamID]uint16, len(t.members))
-	for i, m := range t.members {
-		positions[m.Upstream] = uint16(i + 1)
-	}
-	var d difference
-	if previous != nil {
-		d = compare(previous.members, t.members)
-	}
-	for b := range Bucket(BucketCount) {
-		var c Choice
-		if previous == nil {
-			c = choose(service, b, t.members)
-		} else {
-			c = d.adjust(service, b, previous.Choice(b), t.members)
-		}
-		t.picks[b] = pick{owner: positions[c.Owner], second: positions[c.Second]}
-	}
-	return t
-}
-
-// difference says how two sets of members differ. A member whose weight differs counts as gone and as added.
-type difference struct {
-	gone  map[registrar.UpstreamID]bool
-	added []registrar.Member
-	// weights are those of the new set.
-	weights map[registrar.UpstreamID]registrar.Weight
-}
-
-func compare(old, next []registrar.Member) difference {
-	d := difference{gone: map[registrar.UpstreamID]bool{}, weights: map[registrar.UpstreamID]registrar.Weight{}}
-	for _, m := range old {
-		d.gone[m.Upstream] = !slices.Contains(next, m)
-	}
-	for _, m := range next {
-		d.weights[m.Upstream] = m.Weight
-		if !slices.Contains(old, m) {
-			d.added = append(d.added, m)
-		}
-	}
-	return d
-}
-
-// adjust derives the choice of a bucket from the choice for the old members.
-func (d difference) adjust(service registrar.ServiceID, b Bucket, c Choice, members []registrar.Member) Choice {
-	if c.Second == 0 || d.gone[c.Owner] || d.gone[c.Second] {
-		return choose(service, b, members)
-	}
-	if len(d.added) == 0 {
-		return c
-	}
-	return choose(service, b, append(
-		[]registrar.Member{{Upstream: c.Owner, Weight: d.weights[c.Owner]}, {Upstream: c.Second, Weight: d.weights[c.Second]}},
-		d.added...,
-	))
-}
-
-func choose(service registrar.ServiceID, b Bucket, members []registrar.Member) Choice {
-	var c Choice
-	var first, second float64
-	for _, m := range members {
-		switch s := score(service, b, m); {
-		case wins(s, m.Upstream, first, c.Owner):
-			c.Second, second = c.Owner, first
-			c.Owner, first = m.Upstream, s
-		case wins(s, m.Upstream, second, c.Second):
-			c.Second, second = m.Upstream, s
-		}
-	}
-	return c
-}
-
-// wins orders members by score. The lower id wins a tie, so that the order of the members does not matter.
-func wins(s float64, id registrar.UpstreamID, other float64, otherID registrar.UpstreamID) bool {
-	if otherID == 0 || s != other {
-		return otherID == 0 || s > other
-	}
-	return id < otherID
-}
-
-func score(service registrar.ServiceID, b Bucket, m registrar.Member) float64 {
-	var key [10]byte
-	binary.LittleEndian.PutUint32(key[0:], uint32(service))
-	binary.LittleEndian.PutUint16(key[4:], uint16(b))
-	binary.LittleEndian.PutUint32(key[6:], uint32(m.Upstream))
-	// The hash is mapped to the open interval (0, 1), where the logarithm is finite and negative.
-	u := (float64(xxhash.Sum64(key[:])>>11) + 0.5) / (1 << 53)
-	return float64(m.Weight) / -math.Log(u)
-}
-
-// Choice returns the upstreams for new flows of a bucket.
-func (t *Table) Choice(b Bucket) Choice {
-	p := t.picks[b]
-	return Choice{Owner: t.at(p.owner), Second: t.at(p.second)}
-}
-
-func (t *Table) at(position uint16) registrar.UpstreamID {
-	if position == 0 {
-		return 0
-	}
-	return t.members[position-1].Upstream
-}
-
 // BucketOf returns the bucket of a flow.
 func BucketOf(f registrar.Flow) Bucket {
 	var key [36]byte
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -26,6 +26,12 @@
 	Unserved(service registrar.ServiceName, customer registrar.CustomerName)
 }
 
+// Spreader runs independent tasks, several at a time.
+type Spreader interface {
+	// Each calls task with 0 to n-1 and returns when all calls have returned.
+	Each(n int, task func(i int))
+}
+
 const shardCount = 16
 
 type shard struct {
@@ -49,6 +55,8 @@
 	Outages Outages
 	// Entry is the data address that agents answer to.
 	Entry netip.AddrPort
+	// Spreader computes the routes of several services at a time; nil for one after the other.
+	Spreader Spreader
 
 	shards   [shardCount]shard
 	revision atomic.Uint64
@@ -68,15 +76,18 @@
 func (f *Forwarder) Update(w *registrar.World) {
 	at := w.Revision()
 	live := map[netip.AddrPort]bool{}
+	var changed []registrar.ServiceName
 	for _, s := range w.Services() {
 		live[s.Address] = true
-		if f.current(s) >= w.ChangedAt(s.Name) {
-			continue
+		if f.current(s) < w.ChangedAt(s.Name) {
+			changed = append(changed, s.Name)
 		}
-		if v, ok := w.View(s.Name); ok {
+	}
+	f.each(len(changed), func(i int) {
+		if v, ok := w.View(changed[i]); ok {
 			f.replace(v, at)
 		}
-	}
+	})
 	for i := range f.shards {
 		s := &f.shards[i]
 		s.mu.Lock()
@@ -91,6 +102,16 @@
 	f.newestUpstream.Store(max(f.newestUpstream.Load(), uint32(w.NewestUpstream())))
 }
 
+func (f *Forwarder) each(n int, task func(i int)) {
+	if f.Spreader != nil {
+		f.Spreader.Each(n, task)
+		return
+	}
+	for i := range n {
+		task(i)
+	}
+}
+
 // enforced returns the newest revision that a route agrees with. Routes that a revision leaves alone keep their own.
 func (f *Forwarder) enforced(r *entryRoute) registrar.Revision { return max(r.Revision, f.Revision()) }
 
--- a/internal/route/forwarder/forwarder_test.go
+++ b/internal/route/forwarder/forwarder_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/fake/conductor"
 	"github.com/peridotstage/peridotstage/internal/route/carrier"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
@@ -53,3 +54,35 @@
 		f()
 	}
 }
+
+// interleaver forwards a datagram before and after each task.
+type interleaver struct{ forward func() }
+
+func (s interleaver) Each(n int, task func(i int)) {
+	for i := range n {
+		s.forward()
+		task(i)
+	}
+	s.forward()
+}
+
+// TestForwardDuringUpdate guards against an update that holds a lock while tables are computed, which stops all forwarding for
+// that time.
+func TestForwardDuringUpdate(t *testing.T) {
+	c := conductor.New([]conductor.Service{
+		{Name: "order-desk", Transport: registrar.TransportUDP, Zones: []registrar.ZoneName{"johor-a", "johor-b"}},
+		{Name: "catalogue", Transport: registrar.TransportUDP, Zones: []registrar.ZoneName{"johor-a", "johor-b"}},
+	}, 1)
+	passed := 0
+	c.Entries[0].Spreader = interleaver{func() {
+		for service := range 2 {
+			var h carrier.Header
+			_, reason := c.Entries[0].FromCaller(c.Now, conductor.Flow(service, 1), []byte("x"), &h)
+			require.Equal(t, carrier.Passed, reason)
+			passed++
+		}
+	}}
+	c.Carry(planner.Intent{Kind: planner.WithdrawZone, Zone: &registrar.Zone{Name: "johor-a"}})
+	c.BeatAll()
+	require.GreaterOrEqual(t, passed, 6)
+}
