--- a/internal/cli/commander/proof.go
+++ b/internal/cli/commander/proof.go
@@ -18,14 +18,21 @@
 	cmd.HelpLong(`
 The proof names every node. A node that is in contact must have reported, after it began to enforce the cut, that it has passed
 no packet since and holds no flow. A node that is out of contact must be without a lease. Exit code 6 means "not proved".
+With --unconfirmed the nodes that have confirmed are counted instead of listed; the verdict is the same.
 
 Examples:
   peridotstage proof kilang-maju
   peridotstage customer proof kilang-maju --output json > proof.json
+  peridotstage proof kilang-maju --unconfirmed
 `)
+	unconfirmed := cmd.Flag("unconfirmed", "List only nodes that have not confirmed.").Bool()
 	name := cmd.Arg("name", "Name of the customer.").Required().String()
 	cmd.Action(func(*kingpin.ParseContext) error {
-		p, err := call(a.api, http.MethodGet, "/v1/customers/"+url.PathEscape(*name)+"/proof", nil, printProof)
+		path := "/v1/customers/" + url.PathEscape(*name) + "/proof"
+		if *unconfirmed {
+			path += "?nodes=unconfirmed"
+		}
+		p, err := call(a.api, http.MethodGet, path, nil, printProof)
 		if err == nil && p.Verdict != leaser.Stopped {
 			err = exitError{ExitNotProved, errors.New("it is not proved that the traffic has stopped")}
 		}
@@ -51,6 +58,9 @@
 	}
 	s := p.Totals
 	t.line("")
+	if p.ConfirmedOmitted > 0 {
+		t.line("%d nodes have confirmed and are not listed.", p.ConfirmedOmitted)
+	}
 	t.line("Totals: %d nodes confirmed, %d fenced, %d not proved; %d packets passed before the cut, %d since; %d dropped; %d live "+
 		"flows.", s.Confirmed, s.Fenced, s.NotProved, s.Passed-s.PassedSinceCut, s.PassedSinceCut, s.Dropped, s.LiveFlows)
 }
--- a/internal/control/leaser/proof.go
+++ b/internal/control/leaser/proof.go
@@ -80,7 +80,9 @@
 	// Conclusion says the verdict in words.
 	Conclusion string      `json:"conclusion"`
 	Nodes      []NodeProof `json:"nodes"`
-	Totals     Totals      `json:"totals"`
+	// ConfirmedOmitted is how many confirmed nodes are left out of Nodes. Totals and the verdict count them all the same.
+	ConfirmedOmitted int    `json:"confirmed_omitted"`
+	Totals           Totals `json:"totals"`
 	// Reasons say why the verdict is not Stopped.
 	Reasons []string `json:"reasons,omitempty"`
 }
@@ -123,6 +125,13 @@
 	return p
 }
 
+// OmitConfirmed leaves the confirmed nodes out of the list and counts them. With 8,900 nodes the whole list takes 4.7 MB as JSON.
+func (p *Proof) OmitConfirmed() {
+	all := len(p.Nodes)
+	p.Nodes = slices.DeleteFunc(p.Nodes, func(n NodeProof) bool { return n.State == NodeConfirmed })
+	p.ConfirmedOmitted = all - len(p.Nodes)
+}
+
 func (t *Totals) add(n NodeProof) {
 	switch n.State {
 	case NodeConfirmed:
--- a/internal/control/leaser/proof_test.go
+++ b/internal/control/leaser/proof_test.go
@@ -45,6 +45,29 @@
 // gone turns a session into that of a node that was last heard a minute ago.
 func gone(s *Session) { s.HeardAt, s.LeaseUntil = t0.Add(-time.Minute), t0.Add(-58*time.Second) }
 
+// TestOmitConfirmed guards against a short proof that says something else than the whole one, or hides a node that has not
+// confirmed.
+func TestOmitConfirmed(t *testing.T) {
+	c := caseOf(zero())
+	for i, change := range []func(*Session){func(*Session) {}, gone, func(s *Session) { s.Revision = 39 }} {
+		s := zero()
+		s.Machine.Name = registrar.MachineName(fmt.Sprint("entry-", i+1))
+		change(&s)
+		c.Instances[0].Sessions = append(c.Instances[0].Sessions, s)
+	}
+	whole, short := Prove(t0, c), Prove(t0, c)
+	short.OmitConfirmed()
+	require.Equal(t, whole.Totals.Confirmed, short.ConfirmedOmitted)
+	require.Equal(t, 2, short.ConfirmedOmitted)
+	for _, n := range whole.Nodes {
+		if n.State != NodeConfirmed {
+			require.Contains(t, short.Nodes, n)
+		}
+	}
+	short.Nodes, short.ConfirmedOmitted = whole.Nodes, 0
+	require.Equal(t, whole, short)
+}
+
 // TestProof guards against each known way in which a proof could lie.
 func TestProof(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/internal/front/administrator/customers.go
+++ b/internal/front/administrator/customers.go
@@ -33,8 +33,19 @@
 	c.ok(tracer.New(time.Now(), a.Ledger.World, customer, instances))
 }
 
+// The values of the parameter nodes.
+const (
+	allNodes         = "all"
+	unconfirmedNodes = "unconfirmed"
+)
+
 func (a *Administrator) proof(c *call) {
 	name := registrar.CustomerName(c.request.PathValue("name"))
+	nodes := c.request.URL.Query().Get("nodes")
+	if nodes != "" && nodes != allNodes && nodes != unconfirmedNodes {
+		c.fail(http.StatusBadRequest, badRequest("nodes", nodes, allNodes+" or "+unconfirmedNodes))
+		return
+	}
 	// The proof holds for the moment before the question: whatever was granted or reported until then is in the answers. A later
 	// clock reading would take leases for expired that were renewed while this process did not run.
 	at := time.Now()
@@ -56,6 +67,9 @@
 		})
 		a.Recorder.Info(recorder.ProofMade, zap.String("customer", string(name)), zap.String("verdict", string(p.Verdict)),
 			zap.Uint64("revision", uint64(p.Revision)))
+		if nodes == unconfirmedNodes {
+			p.OmitConfirmed()
+		}
 		c.ok(p)
 		return
 	}
--- a/internal/front/administrator/openapi.go
+++ b/internal/front/administrator/openapi.go
@@ -61,8 +61,11 @@
 	}
 	for _, name := range r.Query {
 		schema := object{"type": "string", "description": "The value of next in the previous page."}
-		if name == "limit" {
+		switch name {
+		case "limit":
 			schema = object{"type": "integer", "minimum": 1, "maximum": maxLimit, "default": defaultLimit}
+		case "nodes":
+			schema = object{"type": "string", "enum": []string{allNodes, unconfirmedNodes}, "default": allNodes}
 		}
 		parameters = append(parameters, parameter(name, "query", false, schema))
 	}
--- a/internal/front/administrator/routes.go
+++ b/internal/front/administrator/routes.go
@@ -60,6 +60,7 @@
 		},
 		{
 			Method: http.MethodGet, Path: "/v1/customers/{name}/proof", Answer: typeOf[leaser.Proof](), serve: a.proof,
+			Query:   []string{"nodes"},
 			Summary: "Show whether a customer's traffic has stopped, with the evidence of every node.",
 		},
 		{
