Collect moves of weights into one revision every 5 s

Each weight that moved by more than 20% was written by the control instance that heard it, in batches of 100 ms, and each generation that could be dropped afterwards made another revision. Every revision costs each entry and node.

The leader already collects the sessions of all instances once a second. What an announcement says besides is written at once as before, with the weight of that moment; so are silent upstreams, departures and zone changes. The log entries and their meaning are those of before, so instances of two versions agree. Batches at each instance were ruled out, since 9 instances would make 9 revisions, and so was a rule in the state machine, which would change what entries of earlier versions mean.

TestWeights fails if a moved weight alone is a fact of a heartbeat.

--- a/internal/cli/runner/upkeep.go
+++ b/internal/cli/runner/upkeep.go
@@ -7,6 +7,7 @@
 
 	"github.com/peridotstage/peridotstage/internal/control/granter"
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/front/administrator"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
@@ -17,9 +18,13 @@
 	upkeepInterval = 1 * time.Second
 	// goneInterval is how often machines that have gone are looked for.
 	goneInterval = 1 * time.Minute
+	// batchInterval is how long moves of weights, and generations to trim, are collected into one revision. Whatever the number of
+	// upstreams, they make at most 12 revisions a minute. New flows follow a change of speed that much later; the limiter of the
+	// agent does not wait.
+	batchInterval = 5 * time.Second
 )
 
-// upkeep marks silent upstreams and trims generations from what all control instances have heard.
+// upkeep marks silent upstreams, moves weights and trims generations from what all control instances have heard.
 type upkeep struct {
 	World     *registrar.World
 	Log       administrator.Log
@@ -31,6 +36,8 @@
 	failingSince map[registrar.MachineName]time.Time
 	// goneAt is when machines that have gone are looked for next.
 	goneAt time.Time
+	// batchAt is when weights may move, and generations be trimmed, next.
+	batchAt time.Time
 }
 
 // run works until ctx ends. Only the instance whose knowledge has no age, which is the leader, does the work.
@@ -54,6 +61,8 @@
 		}
 		if age, ok := u.Authority.Vouch(time.Now()); !ok || age > 0 {
 			clear(u.failingSince)
+			// An earlier leader may have written a batch just now.
+			u.batchAt = now.Add(batchInterval)
 			continue
 		}
 		u.step(ctx, gone)
@@ -64,13 +73,19 @@
 	// Nodes are judged at the time before the question, so that a pause of this process does not make them look silent.
 	now := time.Now()
 	instances := u.Collector.Collect(ctx, connector.Question{Brief: true})
-	if !u.heardAll(now, instances) {
-		return
-	}
 	sessions := leaser.Merge(instances)
-	f := leaser.Upkeep(now, u.World, sessions)
-	if gone && runFor(now, instances, leaser.KeepTime) {
-		f.Gone = leaser.Gone(now, u.World, sessions)
+	var f planner.Facts
+	if u.heardAll(now, instances) {
+		f = leaser.Upkeep(now, u.World, sessions)
+		if gone && runFor(now, instances, leaser.KeepTime) {
+			f.Gone = leaser.Gone(now, u.World, sessions)
+		}
+	}
+	if now.Before(u.batchAt) {
+		f.Trims = nil
+	} else {
+		u.batchAt = now.Add(batchInterval)
+		f.Upstreams = leaser.Weights(now, u.World, sessions)
 	}
 	if f.Empty() {
 		return
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -188,26 +188,31 @@
 	return newest
 }
 
-// Facts returns what a heartbeat says that differs from the configuration. The configuration may be older than that of the
-// log, which decides in the end.
+// Facts returns what a heartbeat says that differs from the configuration, except a moved weight. The configuration may be
+// older than that of the log, which decides in the end.
 func Facts(w *registrar.World, h Heartbeat) planner.Facts {
 	var f planner.Facts
 	old, _ := w.Machine(h.Machine.Name)
 	if old != h.Machine {
 		f.Machines = append(f.Machines, planner.MachineFact{Machine: h.Machine, Previous: old.Incarnation})
 	}
-	a := h.Announcement
-	if a == nil {
+	if h.Announcement == nil {
 		return f
 	}
-	fact := planner.UpstreamFact{
+	fact := h.upstreamFact()
+	u, had := w.Upstream(fact.Name)
+	next := fact.Merge(u, had)
+	if next.Weight = u.Weight; !had || next != u {
+		f.Upstreams = append(f.Upstreams, fact)
+	}
+	return f
+}
+
+func (h Heartbeat) upstreamFact() planner.UpstreamFact {
+	a := h.Announcement
+	return planner.UpstreamFact{
 		Name: a.Upstream, Service: a.Service, Zone: h.Machine.Zone, Machine: h.Machine.Name,
 		Incarnation: h.Machine.Incarnation, Slots: a.Slots, Weight: a.Weight, Draining: a.Draining,
 		Stopped: a.Draining && a.OldestFlow == 0,
 	}
-	u, had := w.Upstream(a.Upstream)
-	if !had || fact.Merge(u, had) != u {
-		f.Upstreams = append(f.Upstreams, fact)
-	}
-	return f
 }
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -45,7 +45,11 @@
 	inFlight atomic.Int64
 	served   atomic.Int64
 	fallen   atomic.Bool
-	mu       sync.Mutex
+	// speed is a service time that replaces ServiceTime, in nanoseconds; 0 for none.
+	speed atomic.Int64
+	// busy is the time in slots of all requests answered, in nanoseconds.
+	busy atomic.Int64
+	mu   sync.Mutex
 	// warmAt is when the cold start ends.
 	warmAt time.Time
 	runs   map[string]int
@@ -116,6 +120,12 @@
 // Served returns the number of requests answered.
 func (b *Backend) Served() int64 { return b.served.Load() }
 
+// SetServiceTime changes how long a request takes from now on.
+func (b *Backend) SetServiceTime(d time.Duration) { b.speed.Store(int64(d)) }
+
+// Busy returns the time in slots of all requests answered.
+func (b *Backend) Busy() time.Duration { return time.Duration(b.busy.Load()) }
+
 // InFlight returns the number of requests in progress.
 func (b *Backend) InFlight() int64 { return b.inFlight.Load() }
 
@@ -147,6 +157,9 @@
 	}
 	defer func() { <-b.slots }()
 	d := b.ServiceTime
+	if v := b.speed.Load(); v != 0 {
+		d = time.Duration(v)
+	}
 	if cold {
 		d *= time.Duration(max(b.ColdFactor, 1))
 	}
@@ -155,6 +168,7 @@
 		return
 	}
 	b.served.Add(1)
+	b.busy.Add(int64(d))
 	w.Header().Set("Backend", b.Name)
 	answer()
 }
--- a/internal/fake/measurer/request_test.go
+++ b/internal/fake/measurer/request_test.go
@@ -1,6 +1,8 @@
 package measurer
 
 import (
+	"context"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -20,6 +22,7 @@
 	register("overload", measureOverload)
 	register("cold_start", measureColdStart)
 	register("imbalance", measureImbalance)
+	register("weight_moves", measureWeightMoves)
 }
 
 func measureAtMostOnce(t *testing.T, seed uint64, m checker.Mix) {
@@ -78,3 +81,42 @@
 	t.Logf("speeds 1:8: %v; load for capacity, max over mean: %.3f", r, x)
 	require.LessOrEqual(t, x, 1.15)
 }
+
+// measureWeightMoves counts the revisions that upstreams make whose speed changes all the time.
+func measureWeightMoves(t *testing.T, seed uint64) {
+	const upstreams, span = 8, time.Minute
+	e := checker.New(t, upstreams, 2, func(_ int, b *backend.Backend) { b.ServiceTime = 20 * time.Millisecond })
+	load := checker.Load{Rate: 200, For: 25 * time.Second, Deadline: 3 * time.Second, Flows: 60, FlowLength: 1}
+	t.Log("warm: ", e.Apply(t, load))
+	revision := func() float64 { return e.Metrics(e.ControlAddr(0))["peridotstage_revision"] }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		r := rand.New(rand.NewPCG(seed, 0))
+		ticker := time.NewTicker(time.Second)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				// Service times between 10 ms and 40 ms; each upstream changes every 8 s on average.
+				e.Backends[r.IntN(upstreams)].SetServiceTime(time.Duration(10+r.IntN(31)) * time.Millisecond)
+			}
+		}
+	}()
+	before, busy := revision(), make([]time.Duration, upstreams)
+	for i, b := range e.Backends {
+		busy[i] = b.Busy()
+	}
+	load.For = span
+	r := e.Apply(t, load)
+	made := revision() - before
+	var sum, most time.Duration
+	for i, b := range e.Backends {
+		sum += b.Busy() - busy[i]
+		most = max(most, b.Busy()-busy[i])
+	}
+	t.Logf("%d upstreams: %v; %.0f revisions in %s; load for capacity, max over mean: %.3f", upstreams, r, made, span,
+		float64(most)*upstreams/float64(sum))
+}
