Let a proof take the leases of an unreachable instance for ended

Cause: an instance that was cut off or dead for good kept missing nodes at "not proved" until it answered or was removed from the log.

The leader now bounds what such an instance can know: it returns only clock readings that it has received, and earlier leaders returned none after its own election or the newest change of the members. A lease is shorter by the age of the knowledge, so it ends 2.5 s after that bound, or 2.75 s with room for clocks that run at different speeds. The leader adds the bounds to its answer to the question for sessions.

Ruled out: the time since the local instance applied the cut. It bounds leases without the cut, but a node could hold a lease with it, and the proof says that missing nodes hold none.

Four ways in which a proof could have been wrong are closed along the way. Each unreachable or restarted instance now needs its bound even if all known nodes are live, because a node that has just started may be known to it alone. The customer must be the same before and after the question, because a node can get a lease without the cut after its instance has answered and before the cut is confirmed. The age of a follower's knowledge is never negative, which lengthened a lease if the caller read the clock before the newest echo was taken in. Leases among the sessions get the allowance for clock rates too.

Tests: TestReplicaModel compares what each member vouches for with what each leader believes, under all its faults; it fails if the bound leaves out when the peer was heard, and if it leaves out the election.

--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -237,6 +237,9 @@
 // Vouch returns how old the applied state may be. ok is false if it is too old to grant leases.
 func (d *Driver) Vouch(now time.Time) (age time.Duration, ok bool) { return d.replica.Vouch(now) }
 
+// Knowledge bounds what the other instances know; nil unless this member is the leader and holds the lease.
+func (d *Driver) Knowledge(now time.Time) []replicator.Knowledge { return d.replica.Knowledge(now) }
+
 // Status returns the members as this member knows them.
 func (d *Driver) Status() []replicator.MemberStatus { return d.replica.Status() }
 
--- a/internal/control/leaser/instance.go
+++ b/internal/control/leaser/instance.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
@@ -17,6 +18,33 @@
 	// among its sessions.
 	StartedAt time.Time
 	Sessions  []Session
+	// Peers is set by the leader of the control log.
+	Peers []PeerBound
+}
+
+// PeerBound says, as the leader of the control log knows it, until when leases can last that another instance has granted.
+type PeerBound struct {
+	Name       registrar.MachineName
+	LeaseUntil time.Time
+}
+
+// leasesUntil returns until when leases can last that an instance has granted but does not show among its sessions. bounded is
+// false if nothing bounds them.
+func leasesUntil(of Instance, all []Instance) (until time.Time, bounded bool) {
+	if of.Answered {
+		return of.StartedAt.Add(subscriber.LeaseBound), true
+	}
+	for _, i := range all {
+		for _, p := range i.Peers {
+			if p.Name != of.Name {
+				continue
+			}
+			if bounded = true; p.LeaseUntil.After(until) {
+				until = p.LeaseUntil
+			}
+		}
+	}
+	return until, bounded
 }
 
 // start identifies one start of a machine.
--- a/internal/control/replicator/network_test.go
+++ b/internal/control/replicator/network_test.go
@@ -77,6 +77,8 @@
 	// confirmed has the times at which clients got results and the newest index confirmed by then.
 	confirmed []confirmation
 	vouched   int
+	// bounded counts the comparisons of what a member knows with what a leader believes.
+	bounded int
 }
 
 type confirmation struct {
@@ -298,6 +300,7 @@
 			continue
 		}
 		w.vouched++
+		w.checkKnowledge(m, w.now.Add(-age))
 		i, found := slices.BinarySearchFunc(w.confirmed, w.now.Add(-age), func(c confirmation, t time.Time) int {
 			return c.at.Compare(t)
 		})
@@ -309,6 +312,21 @@
 	}
 }
 
+// checkKnowledge checks that no leader believes that a member, which may be cut off, knows less than it does.
+func (w *network) checkKnowledge(m *member, known time.Time) {
+	for _, l := range w.members {
+		if !l.up || l == m {
+			continue
+		}
+		for _, k := range l.replica.Knowledge(w.now) {
+			if k.Name == m.name {
+				w.bounded++
+				require.False(w.t, known.After(k.Until), "%s vouches as of %s after the bound of %s", m.name, known.Sub(k.Until), l.name)
+			}
+		}
+	}
+}
+
 // healthy reports whether the committed membership consists of the disks that exist.
 func (w *network) healthy() bool {
 	if len(w.committed) != len(w.members) {
--- a/internal/control/replicator/progress.go
+++ b/internal/control/replicator/progress.go
@@ -3,11 +3,15 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // Progress is what a leader knows about one peer, under its own lock.
 type Progress struct {
 	mu sync.Mutex
+	// name is that of the peer's instance. It does not change.
+	name registrar.MachineName
 	// match is the newest index known to be durable at the peer; next is the index to send next.
 	match, next Index
 	// commit is the commit index that was sent last.
--- a/internal/control/replicator/replica.go
+++ b/internal/control/replicator/replica.go
@@ -62,6 +62,9 @@
 	peersMu sync.RWMutex
 	// peers is filled at a leader only.
 	peers map[MemberID]*Progress
+	// peersAt is when the set of peers changed last, at the latest by the election. An identity that left may have been heard
+	// until then.
+	peersAt time.Time
 	// termStart is the index of the first entry of this leader's term; 0 at others.
 	termStart atomic.Uint64
 
@@ -187,10 +190,10 @@
 			continue
 		}
 		if next[m.ID] = r.peers[m.ID]; next[m.ID] == nil {
-			next[m.ID] = &Progress{next: r.log.Last().Index + 1, addedAt: r.now}
+			next[m.ID] = &Progress{name: m.Name, next: r.log.Last().Index + 1, addedAt: r.now}
 		}
 	}
-	r.peers = next
+	r.peers, r.peersAt = next, r.now
 }
 
 // eachPeer calls f with each peer, its progress locked.
--- a/internal/control/replicator/replica_test.go
+++ b/internal/control/replicator/replica_test.go
@@ -30,6 +30,7 @@
 		}
 		settle(w)
 		require.NotZero(rt, w.vouched)
+		require.NotZero(rt, w.bounded)
 		require.True(rt, porcupine.CheckOperations(registerModel, w.operations), "history is not linearizable")
 	})
 }
--- a/internal/control/replicator/vouch.go
+++ b/internal/control/replicator/vouch.go
@@ -86,5 +86,6 @@
 func (v *voucher) follow(at time.Duration) (time.Duration, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return at - v.knownAt, v.known
+	// The caller may have read the clock before the newest echo was taken in. A lease must not get longer by that.
+	return max(at-v.knownAt, 0), v.known
 }
--- a/internal/control/subscriber/subscriber.go
+++ b/internal/control/subscriber/subscriber.go
@@ -16,6 +16,10 @@
 // and above the time of a leader failover.
 const LeaseTime = 2500 * time.Millisecond
 
+// LeaseBound is how long a lease of LeaseTime can last by another machine's clock. The speeds of clocks may differ by as much as
+// the lease of the control leader allows for.
+const LeaseBound = LeaseTime + LeaseTime/10
+
 // ErrBehind means that a reply did not bring the node to the revision it names.
 var ErrBehind = eris.New("reply does not reach its revision")
 
--- a/internal/front/administrator/customers.go
+++ b/internal/front/administrator/customers.go
@@ -37,6 +37,7 @@
 	name := registrar.CustomerName(c.request.PathValue("name"))
 	// The proof holds for the moment before the question: whatever was granted or reported until then is in the answers. A later
 	// clock reading would take leases for expired that were renewed while this process did not run.
+	before, _ := a.Ledger.World.Customer(name)
 	at := time.Now()
 	instances := a.Collector.Collect(c.request.Context(), connector.Question{Customer: name})
 	// The configuration is read after the instance has vouched for it, so it has all that was confirmed until known.
@@ -52,7 +53,7 @@
 			continue
 		}
 		p := leaser.Prove(at, leaser.Case{
-			Customer: customer, Revision: st.Revision, Vouched: vouched, Machines: st.Machines, Instances: instances,
+			Customer: customer, Changed: customer != before, Revision: st.Revision, Vouched: vouched, Machines: st.Machines, Instances: instances,
 		})
 		a.Recorder.Info(recorder.ProofMade, zap.String("customer", string(name)), zap.String("verdict", string(p.Verdict)),
 			zap.Uint64("revision", uint64(p.Revision)))
--- a/internal/front/connector/collector_test.go
+++ b/internal/front/connector/collector_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
@@ -21,6 +22,9 @@
 	return netip.AddrPort{}, false
 }
 
+// Knowledge implements Directory.
+func (m *members) Knowledge(time.Time) []replicator.Knowledge { return nil }
+
 // TestRemovedInstanceCounts guards against a proof that takes a node for fenced although an instance that has just been
 // removed from the log granted it a lease.
 func TestRemovedInstanceCounts(t *testing.T) {
--- a/internal/front/connector/sessions.go
+++ b/internal/front/connector/sessions.go
@@ -76,7 +76,9 @@
 	q := Question{Customer: registrar.CustomerName(m.GetCustomer()), Brief: m.GetBrief()}
 	sessions := q.apply(s.collector.Leaser.Sessions())
 	now := time.Now()
-	return encoder.SessionsToMessage(now, encoder.Sessions{Running: now.Sub(s.collector.StartedAt), Sessions: sessions})
+	return encoder.SessionsToMessage(now, encoder.Sessions{
+		Running: now.Sub(s.collector.StartedAt), Sessions: sessions, Peers: s.collector.peerBounds(now),
+	})
 }
 
 // Collector gathers the sessions of all control instances. The exported fields are set before first use.
@@ -122,10 +124,22 @@
 	return others
 }
 
-// Directory lists the other control instances.
+// Directory knows the other control instances.
 type Directory interface {
 	Others() []registrar.MachineName
 	Address(name registrar.MachineName) (netip.AddrPort, bool)
+	// Knowledge bounds what the other instances know; nil unless this instance is the leader.
+	Knowledge(now time.Time) []replicator.Knowledge
+}
+
+// peerBounds returns until when leases can last that other instances have granted; nil unless this instance is the leader. A
+// lease is shorter by the age of its instance's knowledge, so it ends a lease time after the moment of that knowledge.
+func (c *Collector) peerBounds(now time.Time) []leaser.PeerBound {
+	var all []leaser.PeerBound
+	for _, k := range c.Directory.Knowledge(now) {
+		all = append(all, leaser.PeerBound{Name: k.Name, LeaseUntil: k.Until.Add(subscriber.LeaseBound)})
+	}
+	return all
 }
 
 // client returns the connection to an instance, or nil if its address is not known.
@@ -153,6 +167,7 @@
 	var wg sync.WaitGroup
 	all := []leaser.Instance{{
 		Name: c.Name, Answered: true, StartedAt: c.StartedAt, Sessions: q.apply(c.Leaser.Sessions()),
+		Peers: c.peerBounds(time.Now()),
 	}}
 	for _, name := range c.Observe(time.Now()) {
 		wg.Go(func() {
@@ -160,6 +175,7 @@
 			if peer := c.client(name); peer != nil {
 				if s, err := peer.Sessions(ctx, q); err == nil {
 					i.Answered, i.StartedAt, i.Sessions = true, time.Now().Add(-s.Running), s.Sessions
+					i.Peers = s.Peers
 				}
 			}
 			mu.Lock()
--- a/internal/wire/encoder/session.go
+++ b/internal/wire/encoder/session.go
@@ -5,12 +5,15 @@
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/wire/messenger"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // Sessions is the answer of a control instance that was asked for its sessions.
 type Sessions struct {
 	Running  time.Duration
 	Sessions []leaser.Session
+	// Peers is set by the leader.
+	Peers []leaser.PeerBound
 }
 
 // SessionsToMessage translates sessions as they are at now. Times become ages, because clocks of machines differ.
@@ -28,6 +31,9 @@
 			LeaseLeftMicros: leaseLeft(now, v.LeaseUntil),
 		})
 	}
+	for _, p := range s.Peers {
+		m.Peers = append(m.Peers, &messenger.PeerBound{Name: string(p.Name), LeaseLeftMicros: leaseLeft(now, p.LeaseUntil)})
+	}
 	return m, nil
 }
 
@@ -60,5 +66,11 @@
 		}
 		s.Sessions = append(s.Sessions, next)
 	}
+	for _, p := range m.GetPeers() {
+		s.Peers = append(s.Peers, leaser.PeerBound{
+			Name:       registrar.MachineName(p.GetName()),
+			LeaseUntil: now.Add(time.Duration(p.GetLeaseLeftMicros()) * time.Microsecond),
+		})
+	}
 	return s, nil
 }
