Found the control log again after a disk was lost meanwhile

Cause: the founding entry may be on one disk only until it is replicated. If a disk was lost between the founding election and that moment, no instance could lead or found a log, and the folders had to be emptied by hand.

A founder whose log is its founding entry alone replaces the entry by one with the identities that the others have now: nobody has led, so nobody else has an entry. A founder that has lost its disk founds again if no instance has a log and so many remember an election that the rest is no majority: they have kept their disks, so no entry was ever committed. In all other cases the instances that remember the election end with an error that names their data folder and the remedy.

Ruled out: founding again whenever no instance has a log. An instance with an empty disk may have lost it, and together with the founder it may have been the majority that confirmed a change. Also ruled out: judging at once; the requests of the lost founder may still be on their way, so the case has to last for 1 s.

The error is checked in the network model only, not with a process.

--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -183,6 +183,9 @@
 }
 
 func (d *Driver) carryOut(now time.Time, e replicator.Effects) error {
+	if e.Failure != nil {
+		return eris.Wrapf(e.Failure, "data folder %s", d.Folder)
+	}
 	if e.Install != nil {
 		d.Recorder.Info(recorder.SnapshotInstalled, zap.Uint64("index", uint64(e.Install.Index)),
 			zap.Int("bytes", len(e.Install.State)))
--- a/internal/control/replicator/event.go
+++ b/internal/control/replicator/event.go
@@ -85,6 +85,8 @@
 
 // Effects are what a member has to do, in the order of the fields.
 type Effects struct {
+	// Failure ends the member if it is set. Nothing else in the effects may be carried out.
+	Failure error
 	// Install is a received snapshot, which replaces the whole log and state.
 	Install *Snapshot
 	// Ballot is set if it has changed.
--- a/internal/control/replicator/message.go
+++ b/internal/control/replicator/message.go
@@ -123,11 +123,19 @@
 // Join asks the leader to take in an instance with an empty disk.
 type Join struct{}
 
-// Probe asks whether an instance has an empty disk. It is sent by the instance that founds the log.
-type Probe struct{}
+// Probe asks whether an instance has a log. It is sent by the instance that founds the log.
+type Probe struct {
+	// Unsafe says that the log may have had confirmed entries and is lost, as far as the sender knows.
+	Unsafe bool
+}
 
 // ProbeAnswer says whether the instance may be made a founding voter.
-type ProbeAnswer struct{ Empty bool }
+type ProbeAnswer struct {
+	// Empty is true if the disk holds nothing but the identity.
+	Empty bool
+	// Unwritten is true if the log has never had an entry, although there may be a ballot.
+	Unwritten bool
+}
 
 func (VoteRequest) body()   {}
 func (VoteAnswer) body()    {}
--- a/internal/control/replicator/network_test.go
+++ b/internal/control/replicator/network_test.go
@@ -46,6 +46,8 @@
 	applied replicator.Index
 	members replicator.Members
 	value   string
+	// failure is why the member has ended; nil if it has not.
+	failure error
 }
 
 type delivery struct {
@@ -113,7 +115,7 @@
 
 // boot starts a member from its disk.
 func (w *network) boot(m *member) {
-	m.up, m.frozen, m.pending = true, false, replicator.Pending{}
+	m.up, m.frozen, m.failure, m.pending = true, false, nil, replicator.Pending{}
 	m.replica = &replicator.Replica{Self: m.disk.id, Name: m.name, Known: w.known(), Rand: w.rng, Keep: 5}
 	m.applied, m.members, m.value = m.disk.snapshot.Index, m.disk.snapshot.Members, string(m.disk.snapshot.State)
 	require.NoError(w.t, m.replica.Start(w.now, replicator.State{
@@ -156,6 +158,10 @@
 func (w *network) step(m *member, ev replicator.Event) {
 	m.replica.Step(w.now, ev)
 	e := m.replica.Take(w.now)
+	if e.Failure != nil {
+		m.up, m.failure = false, e.Failure
+		return
+	}
 	m.write(e)
 	for _, wr := range e.Written {
 		w.written(m, wr)
--- a/internal/control/replicator/replica.go
+++ b/internal/control/replicator/replica.go
@@ -79,6 +79,8 @@
 	sendAt   time.Time
 	joinAt   time.Time
 	empty    map[registrar.MachineName]probed
+	// unsafeAt is since when the log cannot be founded again safely; zero if that is not so.
+	unsafeAt time.Time
 	effects  Effects
 }
 
--- a/internal/wire/encoder/consensus.go
+++ b/internal/wire/encoder/consensus.go
@@ -47,9 +47,9 @@
 	case replicator.Join:
 		out.Body = &messenger.ConsensusMessage_Join{Join: &messenger.JoinRequest{}}
 	case replicator.Probe:
-		out.Body = &messenger.ConsensusMessage_Probe{Probe: &messenger.ProbeRequest{}}
+		out.Body = &messenger.ConsensusMessage_Probe{Probe: &messenger.ProbeRequest{Unsafe: b.Unsafe}}
 	case replicator.ProbeAnswer:
-		out.Body = &messenger.ConsensusMessage_ProbeAnswer{ProbeAnswer: &messenger.ProbeAnswer{Empty: b.Empty}}
+		out.Body = &messenger.ConsensusMessage_ProbeAnswer{ProbeAnswer: &messenger.ProbeAnswer{Empty: b.Empty, Unwritten: b.Unwritten}}
 	default:
 		return nil, ErrMessage
 	}
@@ -91,9 +91,9 @@
 	case *messenger.ConsensusMessage_Join:
 		out.Body = replicator.Join{}
 	case *messenger.ConsensusMessage_Probe:
-		out.Body = replicator.Probe{}
+		out.Body = replicator.Probe{Unsafe: b.Probe.GetUnsafe()}
 	case *messenger.ConsensusMessage_ProbeAnswer:
-		out.Body = replicator.ProbeAnswer{Empty: b.ProbeAnswer.GetEmpty()}
+		out.Body = replicator.ProbeAnswer{Empty: b.ProbeAnswer.GetEmpty(), Unwritten: b.ProbeAnswer.GetUnwritten()}
 	default:
 		err = ErrMessage
 	}
