Grant no lease to a serving node that the log does not name

Cause: a node that goes on without a lease could get its first lease before its announcement was in the log. If its control instance was lost then, no other instance knew of the node, and a proof could say "stopped" while it served.

Such a node now gets a lease only when the instance's configuration names this start of it and that it serves. Other nodes are not affected; their leases end by themselves. TestServingNode fails without the change.

--- a/internal/control/granter/granter.go
+++ b/internal/control/granter/granter.go
@@ -127,7 +127,7 @@
 func (g *Granter) reply(now time.Time, h leaser.Heartbeat) subscriber.Reply {
 	// Authority is asked before the revision is read, so that the revision is at least as new as the age says.
 	age, ok := g.Authority.Vouch(now)
-	r := subscriber.Reply{Revision: g.World.Revision(), Age: age, Granted: ok}
+	r := subscriber.Reply{Revision: g.World.Revision(), Age: age, Granted: ok && g.accountable(h)}
 	updates, known := g.Publisher.Since(h.Revision, r.Revision)
 	if h.Revision == 0 && len(updates) > newcomerUpdates {
 		known = false
@@ -141,6 +141,16 @@
 	return r
 }
 
+// accountable reports whether every proof takes a node into account. One that goes on without a lease must be in the
+// configuration first: if this instance was lost, nobody else might know of the node.
+func (g *Granter) accountable(h leaser.Heartbeat) bool {
+	if !h.ServeExpired {
+		return true
+	}
+	m, ok := g.World.Machine(h.Machine.Name)
+	return ok && m.Incarnation == h.Machine.Incarnation && m.ServesExpired
+}
+
 // differs reports that the node's configuration is not what it should be, and that it is time to repair it.
 func (g *Granter) differs(now time.Time, h leaser.Heartbeat) bool {
 	if h.Digest == 0 {
--- a/internal/control/granter/granter_test.go
+++ b/internal/control/granter/granter_test.go
@@ -132,3 +132,19 @@
 	require.NoError(t, err)
 	require.Len(t, c.facts, 1, "a heartbeat without news was proposed")
 }
+
+// TestServingNode guards against a first lease for a node that goes on without one and that only this instance knows of.
+func TestServingNode(t *testing.T) {
+	g, _ := newGranter(t, 1)
+	h := leaser.Heartbeat{Machine: registrar.Machine{Name: "entry-0", Incarnation: 7, ServesExpired: true}, ServeExpired: true}
+	known := h.Machine
+	for i, granted := range []bool{false, false, true} {
+		r, err := g.Heartbeat(t0, h)
+		require.NoError(t, err)
+		require.Equal(t, granted, r.Granted)
+		known.Incarnation = registrar.Incarnation(6 + i)
+		require.NoError(t, g.World.Apply(registrar.Update{Revision: registrar.Revision(2 + i), Changes: []registrar.Change{
+			{Kind: registrar.PutMachine, Machine: &known},
+		}}))
+	}
+}
