--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -183,6 +183,9 @@
 }
 
 func (d *Driver) carryOut(now time.Time, e replicator.Effects) error {
+	if e.Failure != nil {
+		return eris.Wrapf(e.Failure, "data folder %s", d.Folder)
+	}
 	if e.Install != nil {
 		d.Recorder.Info(recorder.SnapshotInstalled, zap.Uint64("index", uint64(e.Install.Index)),
 			zap.Int("bytes", len(e.Install.State)))
@@ -237,6 +240,9 @@
 // Vouch returns how old the applied state may be. ok is false if it is too old to grant leases.
 func (d *Driver) Vouch(now time.Time) (age time.Duration, ok bool) { return d.replica.Vouch(now) }
 
+// Knowledge bounds what the other instances know; nil unless this member is the leader and holds the lease.
+func (d *Driver) Knowledge(now time.Time) []replicator.Knowledge { return d.replica.Knowledge(now) }
+
 // Status returns the members as this member knows them.
 func (d *Driver) Status() []replicator.MemberStatus { return d.replica.Status() }
 
--- a/internal/control/replicator/network_test.go
+++ b/internal/control/replicator/network_test.go
@@ -46,6 +46,8 @@
 	applied replicator.Index
 	members replicator.Members
 	value   string
+	// failure is why the member has ended; nil if it has not.
+	failure error
 }
 
 type delivery struct {
@@ -77,6 +79,8 @@
 	// confirmed has the times at which clients got results and the newest index confirmed by then.
 	confirmed []confirmation
 	vouched   int
+	// bounded counts the comparisons of what a member knows with what a leader believes.
+	bounded int
 }
 
 type confirmation struct {
@@ -111,7 +115,7 @@
 
 // boot starts a member from its disk.
 func (w *network) boot(m *member) {
-	m.up, m.frozen, m.pending = true, false, replicator.Pending{}
+	m.up, m.frozen, m.failure, m.pending = true, false, nil, replicator.Pending{}
 	m.replica = &replicator.Replica{Self: m.disk.id, Name: m.name, Known: w.known(), Rand: w.rng, Keep: 5}
 	m.applied, m.members, m.value = m.disk.snapshot.Index, m.disk.snapshot.Members, string(m.disk.snapshot.State)
 	require.NoError(w.t, m.replica.Start(w.now, replicator.State{
@@ -154,6 +158,10 @@
 func (w *network) step(m *member, ev replicator.Event) {
 	m.replica.Step(w.now, ev)
 	e := m.replica.Take(w.now)
+	if e.Failure != nil {
+		m.up, m.failure = false, e.Failure
+		return
+	}
 	m.write(e)
 	for _, wr := range e.Written {
 		w.written(m, wr)
@@ -298,6 +306,7 @@
 			continue
 		}
 		w.vouched++
+		w.checkKnowledge(m, w.now.Add(-age))
 		i, found := slices.BinarySearchFunc(w.confirmed, w.now.Add(-age), func(c confirmation, t time.Time) int {
 			return c.at.Compare(t)
 		})
@@ -309,6 +318,21 @@
 	}
 }
 
+// checkKnowledge checks that no leader believes that a member, which may be cut off, knows less than it does.
+func (w *network) checkKnowledge(m *member, known time.Time) {
+	for _, l := range w.members {
+		if !l.up || l == m {
+			continue
+		}
+		for _, k := range l.replica.Knowledge(w.now) {
+			if k.Name == m.name {
+				w.bounded++
+				require.False(w.t, known.After(k.Until), "%s vouches as of %s after the bound of %s", m.name, known.Sub(k.Until), l.name)
+			}
+		}
+	}
+}
+
 // healthy reports whether the committed membership consists of the disks that exist.
 func (w *network) healthy() bool {
 	if len(w.committed) != len(w.members) {
