Declare the size of a datagram buffer once

The constant maxDatagram stood in the entry's listener, the agent's responder, and the stand-ins sprayer and faulter, and as a plain number in the echo upstream. All five hold the same thing, a buffer for any UDP datagram, so carrier, which defines the datagrams between machines and which all of them may import, now has MaxDatagram.

The TCP proxy of faulter used the same name for the buffer of a stream, which is another thing; it has a constant of its own with the same value.

--- a/internal/fake/backend/echo.go
+++ b/internal/fake/backend/echo.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/route/carrier"
 )
 
 // Answers that come late.
@@ -50,7 +52,7 @@
 func (e *Echo) Close() { _ = e.conn.Close() }
 
 func (e *Echo) answer() {
-	b := make([]byte, 64<<10)
+	b := make([]byte, carrier.MaxDatagram)
 	for {
 		n, from, err := e.conn.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/fake/faulter/proxy.go
+++ b/internal/fake/faulter/proxy.go
@@ -8,13 +8,12 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-)
 
-const (
-	maxDatagram  = 64 << 10
-	socketBuffer = 4 << 20
+	"github.com/peridotstage/peridotstage/internal/route/carrier"
 )
 
+const socketBuffer = 4 << 20
+
 // Proxy carries the datagrams that are sent to one address on to another. It carries no answers: machines address each
 // other by announced addresses, so a proxy in front of each machine covers both directions. The exported fields are set
 // before Run.
@@ -78,7 +77,7 @@
 }
 
 func (p *Proxy) carry() {
-	b := make([]byte, maxDatagram)
+	b := make([]byte, carrier.MaxDatagram)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/fake/faulter/stream.go
+++ b/internal/fake/faulter/stream.go
@@ -8,6 +8,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// copyBuffer is the size in bytes of the buffer for each direction of a connection.
+const copyBuffer = 64 << 10
+
 // Stream carries TCP connections, and can lose the bytes of either direction without closing anything, as a middlebox
 // does that lost track of a connection. The exported fields are set before Run.
 type Stream struct {
@@ -124,7 +127,7 @@
 }
 
 func (s *Stream) carry(p *pair, to, from net.Conn, cut *bool) {
-	b := make([]byte, maxDatagram)
+	b := make([]byte, copyBuffer)
 	for {
 		n, err := from.Read(b)
 		s.mu.Lock()
--- a/internal/fake/sprayer/sprayer.go
+++ b/internal/fake/sprayer/sprayer.go
@@ -12,12 +12,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/peridotstage/peridotstage/internal/fake/faulter"
+	"github.com/peridotstage/peridotstage/internal/route/carrier"
 )
 
-const (
-	maxDatagram  = 64 << 10
-	socketBuffer = 4 << 20
-)
+const socketBuffer = 4 << 20
 
 // Faults are those of the links between callers and entries.
 type Faults = faulter.Faults
@@ -98,7 +96,7 @@
 }
 
 func (s *Sprayer) fromCallers() {
-	b := make([]byte, maxDatagram)
+	b := make([]byte, carrier.MaxDatagram)
 	for {
 		n, from, err := s.public.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
@@ -138,7 +136,7 @@
 }
 
 func (s *Sprayer) toCaller(conn *net.UDPConn, caller netip.AddrPort) {
-	b := make([]byte, maxDatagram)
+	b := make([]byte, carrier.MaxDatagram)
 	for {
 		n, _, err := conn.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/front/listener/listener.go
+++ b/internal/front/listener/listener.go
@@ -21,9 +21,6 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
-// maxDatagram is the largest datagram in bytes that the listener takes.
-const maxDatagram = 64 << 10
-
 // readBatch is the number of datagrams read from one socket before the poller looks at the others.
 const readBatch = 64
 
@@ -79,7 +76,7 @@
 	if l.Sockets == 0 {
 		l.Sockets = min(runtime.GOMAXPROCS(0), maxSockets)
 	}
-	l.scratch.New = func() any { return &scratch{buffer: make([]byte, encoder.HeaderSize+maxDatagram)} }
+	l.scratch.New = func() any { return &scratch{buffer: make([]byte, encoder.HeaderSize+carrier.MaxDatagram)} }
 	l.services.Store(&map[netip.AddrPort][]*socket{})
 	l.engine = nbio.NewEngine(nbio.Config{Name: "entry", NPoller: l.Sockets})
 	l.engine.OnRead(func(c *nbio.Conn) {
--- a/internal/front/responder/relay.go
+++ b/internal/front/responder/relay.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/peridotstage/peridotstage/internal/route/carrier"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
 )
 
@@ -29,7 +30,7 @@
 
 func newRelay(upstream netip.AddrPort, answer func(netip.AddrPort, []byte), t *tracker.Tracker) *relay {
 	r := &relay{upstream: upstream, answer: answer, tracker: t, flows: map[netip.AddrPort]*net.UDPConn{}}
-	r.buffers.New = func() any { b := make([]byte, maxDatagram); return &b }
+	r.buffers.New = func() any { b := make([]byte, carrier.MaxDatagram); return &b }
 	return r
 }
 
--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -27,7 +27,6 @@
 )
 
 const (
-	maxDatagram  = 64 << 10
 	socketBuffer = 4 << 20
 	// idleTimeout is advertised as the QUIC idle timeout of both ends. It is longer than the prober's silentAfter plus one
 	// interval, because QUIC drops an idle connection without telling the caller. Some callers do not go below their own minimum; that of quic-go is 5 s unless its
@@ -88,7 +87,7 @@
 		return err
 	}
 	r.udp = udp
-	r.buffers.New = func() any { b := make([]byte, 0, maxDatagram); return &b }
+	r.buffers.New = func() any { b := make([]byte, 0, carrier.MaxDatagram); return &b }
 	r.done = make(chan struct{})
 	go r.receive()
 	go r.probe()
@@ -142,8 +141,8 @@
 }
 
 func (r *Responder) receive() {
-	b := make([]byte, maxDatagram)
-	out := make([]byte, 0, maxDatagram)
+	b := make([]byte, carrier.MaxDatagram)
+	out := make([]byte, 0, carrier.MaxDatagram)
 	var h carrier.Header
 	for {
 		n, _, err := r.udp.ReadFromUDPAddrPort(b)
--- a/internal/route/carrier/carrier.go
+++ b/internal/route/carrier/carrier.go
@@ -13,6 +13,9 @@
 // ErrVersion means that a datagram has an unknown format version.
 var ErrVersion = eris.New("unknown datagram version")
 
+// MaxDatagram is the size in bytes of a buffer that holds any UDP datagram. The length field of UDP has 16 bits (RFC 768).
+const MaxDatagram = 64 << 10
+
 // Kind says which way a datagram travels.
 type Kind byte
 
