Drain the plain UDP flows of an agent that stops as planned

A planned stop closed the UDP relay about a second after the configuration had moved new flows away, so callers lost every answer that came later, and their next datagrams until the agent was known as stopped. Requests over HTTP/3 were finished.

The tracker now decides the end of each flow from the datagrams and answers it sees: a flow ends when it has been quiet for flow_quiet without an unanswered datagram, in the last flow_quiet before the drain deadline at its first such moment, and at the deadline in any case (event 1104 counts those). Later datagrams go back to the owner of the bucket, also when it had redirected them here, and start a new flow there. The agent keeps doing this until the configuration leaves it out of all chains and one more second has passed, for both transports. The last heartbeat used the drain context, so after a stop that took the whole drain time control was not told; it has its own bound now.

Ruled out: counting a flow as answered by the order of its last two datagrams, which ends a flow whose earlier datagram still waits; and refusing new flows from the signal on, since until the configuration names another owner the second choice may already have been asked.

--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -87,11 +87,14 @@
 	awaitNoNewFlows(g, a.tracker)
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(cfg.Drain))
 	defer cancel()
-	err = a.responder.Shutdown(drain, a.handler.InFlight)
+	err = a.responder.Drain(drain, a.handler.InFlight)
 	sendFinalBatch(g, n, a.meter)
-	// Control learns that no flows are left here, so that chains leave this agent out at once.
+	// Control learns that no flows are left here, so that chains leave this agent out at once. Until the other machines know
+	// it, the agent returns the datagrams of callers that it served to the agents that now own them.
 	a.stopped.Store(true)
-	n.lastHeartbeat(drain)
+	n.lastHeartbeat(g.ctx)
+	awaitLeftOut(g, a.tracker)
+	err = errors.Join(err, a.responder.Close())
 	g.cancel(nil)
 	_ = g.wait()
 	return eris.Wrap(err, "drain")
@@ -108,6 +111,17 @@
 	}
 }
 
+// awaitLeftOut waits until the configuration leaves the agent out of all chains and the other machines have had time to get
+// it.
+func awaitLeftOut(g *group, t *tracker.Tracker) {
+	for deadline := time.Now().Add(leaveTime); time.Now().Before(deadline) && g.ctx.Err() == nil; g.pause(leavePoll) {
+		if u, ok := t.Self(); !ok || u.Silent {
+			g.pause(2 * heartbeatInterval)
+			return
+		}
+	}
+}
+
 // agent holds the parts of one agent.
 type agent struct {
 	cfg       parser.Agent
@@ -153,7 +167,7 @@
 	}
 	a.responder = &responder.Responder{
 		Tracker: a.tracker, Counter: a.counter, Keys: keys.Data, Stamper: keys.Stamper, ResetKey: keys.ResetKey,
-		DataAddress: cfg.BindData(), Upstream: cfg.UpstreamAddress, Newer: n.newer,
+		DataAddress: cfg.BindData(), Upstream: cfg.UpstreamAddress, FlowQuiet: time.Duration(cfg.FlowQuiet), Newer: n.newer,
 		Handler: &meteredHandler{next: a.handler, meter: a.meter, service: cfg.Service, customers: a.tracker},
 	}
 	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, a.counter}
--- a/internal/front/responder/relay.go
+++ b/internal/front/responder/relay.go
@@ -63,6 +63,17 @@
 	}
 }
 
+// closeEnded closes the flows that the tracker does not hold any more.
+func (r *relay) closeEnded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for caller, conn := range r.flows {
+		if !r.tracker.Holds(caller) {
+			_ = conn.Close()
+		}
+	}
+}
+
 func (r *relay) receive(caller netip.AddrPort, conn *net.UDPConn) {
 	defer func() {
 		r.mu.Lock()
--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -16,6 +16,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/route/carrier"
@@ -36,6 +37,8 @@
 	keepAlive = 1 * time.Second
 	// quietTime without requests ends a planned stop. It leaves callers time to act on GOAWAY.
 	quietTime = 2 * time.Second
+	// drainPoll is how often plain UDP flows are looked at during a planned stop.
+	drainPoll = 100 * time.Millisecond
 	// closeCut is the QUIC application error code for connections of customers that were cut off.
 	closeCut quic.ApplicationErrorCode = 0x1001
 	// closeSilent is the QUIC application error code for connections on which nothing arrives any more.
@@ -55,6 +58,8 @@
 	Handler     http.Handler
 	Upstream    netip.AddrPort
 	Recorder    *recorder.Recorder
+	// FlowQuiet is how long a plain UDP flow must have been quiet before it ends at a planned stop.
+	FlowQuiet time.Duration
 	// Newer is called with each revision that a datagram carries.
 	Newer func(registrar.Revision)
 
@@ -94,12 +99,16 @@
 	return nil
 }
 
-// Shutdown asks callers to open new connections elsewhere (GOAWAY), waits until no request is in progress and closes all
-// connections.
-func (r *Responder) Shutdown(ctx context.Context, inFlight func() int64) error {
+// Drain asks callers to open new connections elsewhere (GOAWAY), waits until no request is in progress and closes all
+// connections. Plain UDP flows end as the tracker decides. Datagrams that belong to other agents are still passed on until
+// Close.
+func (r *Responder) Drain(ctx context.Context, inFlight func() int64) error {
 	r.mu.Lock()
-	server, transport := r.server, r.quic
+	server, transport, relay := r.server, r.quic, r.relay
 	r.mu.Unlock()
+	if relay != nil {
+		r.drainRelay(ctx, relay)
+	}
 	var err error
 	if server != nil {
 		quiet, cancel := context.WithCancel(ctx)
@@ -116,8 +125,38 @@
 	if transport != nil {
 		_ = transport.Close()
 	}
+	return err
+}
+
+// Close ends the transport of datagrams.
+func (r *Responder) Close() error {
 	close(r.done)
-	return errors.Join(err, r.udp.Close())
+	return r.udp.Close()
+}
+
+// drainRelay returns when all plain UDP flows have ended, which is at the deadline of ctx at the latest.
+func (r *Responder) drainRelay(ctx context.Context, relay *relay) {
+	now := time.Now()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = now
+	}
+	r.Tracker.Drain(now, r.FlowQuiet, deadline)
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	cut := 0
+	for {
+		d := r.Tracker.EndFlows(time.Now())
+		cut += d.Cut
+		relay.closeEnded()
+		if d.Left == 0 {
+			break
+		}
+		<-ticker.C
+	}
+	if cut > 0 {
+		r.Recorder.Warn(recorder.FlowsCut, zap.Int("flows", cut))
+	}
 }
 
 // untilQuiet returns when no request has been in progress for quietTime.
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -20,6 +20,7 @@
 	KeysReloaded     = Event{1101, "key files read again"}
 	ReloadFailed     = Event{1102, "cannot read key files again"}
 	StopBegun        = Event{1103, "planned stop begun"}
+	FlowsCut         = Event{1104, "plain UDP flows cut at the drain deadline"}
 	HeartbeatFailed  = Event{2001, "heartbeat failed"}
 	RevisionEnforced = Event{2002, "revision enforced"}
 	AnnounceRefused  = Event{2003, "announcement refused"}
--- a/internal/route/tracker/answer.go
+++ b/internal/route/tracker/answer.go
@@ -74,6 +74,7 @@
 		return carrier.Header{}, false
 	}
 	at := t.instant(now)
+	r.answered()
 	r.expireAt = at.add(t.flowIdle())
 	entry := t.pickEntry(at, &r)
 	s.flows[key] = r
--- a/internal/route/tracker/flow.go
+++ b/internal/route/tracker/flow.go
@@ -59,8 +59,10 @@
 	answers  uint32
 	// closed records are those of ended QUIC connections. They are kept for a while, since the caller may send on and has to
 	// be told that the connection is gone.
-	closed   bool
-	customer *counter.Customer
+	closed bool
+	// unanswered counts the datagrams of the caller that no answer has come for.
+	unanswered uint16
+	customer   *counter.Customer
 	// generation is the newest generation when the flow was admitted.
 	generation registrar.Revision
 	// seenAt is when the caller's last packet arrived.
--- a/internal/route/tracker/place.go
+++ b/internal/route/tracker/place.go
@@ -46,6 +46,10 @@
 		s.remove(key)
 		known = false
 	}
+	if known && t.drains() && t.drain.over(at, &r) {
+		s.remove(key)
+		known = false
+	}
 	if known {
 		return t.deliver(at, s, h, r)
 	}
@@ -55,7 +59,7 @@
 	if v, done := t.byConnectionID(at, s, h, payload, c); done {
 		return v
 	}
-	if !h.Has(carrier.Redirected) {
+	if t.seeks(h) {
 		if v, done := t.follow(h); done {
 			return v
 		}
@@ -66,6 +70,7 @@
 // deliver hands a datagram to this agent's flow and stores the record.
 func (t *Tracker) deliver(at instant, s *flowShard, h *carrier.Header, r flowRecord) Verdict {
 	r.redirect = 0
+	r.asked(at)
 	r.expireAt = at.add(t.flowIdle())
 	r.seen(at, h.Entry)
 	s.put(endpointOf(h.Flow.Caller), r)
@@ -151,7 +156,7 @@
 }
 
 func (t *Tracker) takesNewFlows() bool {
-	return !t.self.Retired && !t.self.Draining && !t.self.Silent
+	return !t.self.Retired && !t.self.Draining && !t.self.Silent && !t.drains()
 }
 
 func (t *Tracker) record(c customer) flowRecord {
--- a/internal/route/tracker/tracker.go
+++ b/internal/route/tracker/tracker.go
@@ -69,6 +69,8 @@
 	ok        bool
 	entries   *entrySet
 	customers map[registrar.CustomerName]*counter.Customer
+	// drain is set once a planned stop has begun to end the plain UDP flows.
+	drain     *drain
 	shards    [shardCount]flowShard
 	epochOnce sync.Once
 	epoch     time.Time
--- a/internal/setting/parser/rule.go
+++ b/internal/setting/parser/rule.go
@@ -24,7 +24,10 @@
 	maxSlots  = 10_000
 	maxLinger = 5 * time.Minute
 	maxDrain  = time.Hour
-	minShare  = 0.5
+	// minFlowQuiet is the interval at which an agent looks at its flows during a planned stop.
+	minFlowQuiet = 100 * time.Millisecond
+	maxFlowQuiet = 5 * time.Minute
+	minShare     = 0.5
 	// maxShare allows 26 s of failure in a month.
 	maxShare = 0.99999
 )
@@ -55,7 +58,8 @@
 		d, ok := v.(Duration)
 		return ok && slices.Contains(burner.Bounds[:], time.Duration(d))
 	}},
-	"drain": {"a duration from 1s to 1h", within(time.Second, maxDrain)},
+	"flow_quiet": {"a duration from 100ms to 5m", within(minFlowQuiet, maxFlowQuiet)},
+	"drain":      {"a duration from 1s to 1h", within(time.Second, maxDrain)},
 }
 
 func boundList() string {
--- a/internal/setting/parser/settings.go
+++ b/internal/setting/parser/settings.go
@@ -88,7 +88,8 @@
 	Slots              registrar.Slots        `json:"slots" rule:"slots" doc:"requests that the upstream serves at once"`
 	ServiceCertificate string                 `json:"service_certificate_file" rule:"file" doc:"certificate of the service, which callers see"`
 	ServiceKey         string                 `json:"service_key_file" rule:"file" doc:"private key of the service's certificate"`
-	Drain              Duration               `json:"drain" rule:"drain" default:"60s" doc:"bound of the wait for requests in progress at a planned stop"`
+	Drain              Duration               `json:"drain" rule:"drain" default:"60s" doc:"bound of the wait for requests in progress and plain UDP flows at a planned stop"`
+	FlowQuiet          Duration               `json:"flow_quiet" rule:"flow_quiet" default:"5s" doc:"how long a plain UDP flow without an unanswered datagram must carry nothing before it ends at a planned stop"`
 }
 
 // Control holds the settings of a control instance.
