Tell a slow upstream from a silent connection by kernel probes

An upstream that sent no byte for 4 s lost its request even while its connection was alive, so long computations failed. The limit also missed a silent connection while a body came in slowly, since each write into the socket buffer counted as taken: the request hung to its deadline.

The kernel now probes upstream connections every second (TCP keep-alive, three probes), and TCP_USER_TIMEOUT of 3.5 s bounds unacknowledged data, during which it sends no probes. A connection is given up 4 s after its last sign of life. Answers may take as long as the deadline allows. An idle connection that the kernel gives up counts as ended. Interim responses were ruled out as the only remedy, because every upstream would have to send them.

--- a/internal/cli/runner/request_test.go
+++ b/internal/cli/runner/request_test.go
@@ -171,7 +171,7 @@
 		ends <- end{a, err}
 	}()
 	require.Eventually(t, func() bool { return e.Requests() > before }, deployer.WaitTime, deployer.PollTime)
-	s.Silence()
+	require.NoError(t, s.Silence())
 	silent := time.Now()
 	x := <-ends
 	require.NoError(t, x.err)
--- a/internal/cli/runner/restart_test.go
+++ b/internal/cli/runner/restart_test.go
@@ -171,8 +171,7 @@
 // TestStopFinishesRequests guards against a planned stop that cuts a request in progress (promise 9).
 func TestStopFinishesRequests(t *testing.T) {
 	d := small(t)
-	// Longer than the agent waits before it drains, so that the request is still in progress then, and shorter than the 4 s
-	// after which an agent takes a connection to its upstream for silent.
+	// Longer than the agent waits before it drains, so that the request is still in progress then.
 	const serviceTime = 3 * time.Second
 	backends := d.Backends(0, func(_ int, b *backend.Backend) { b.ServiceTime = serviceTime })
 	d.Fabric(0, 1)
--- a/internal/front/responder/pool.go
+++ b/internal/front/responder/pool.go
@@ -3,20 +3,30 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 const (
-	// silenceLimit is how long the upstream may send nothing, or take nothing, while a request is in progress. It keeps the
-	// promise of 5 s for silent connections. An upstream with longer requests sends interim responses (RFC 9110, section
-	// 15.2), each of which is a sign of life.
+	// silenceLimit is how long the upstream may take nothing of a request.
 	silenceLimit = 4 * time.Second
-	dialTimeout  = 2 * time.Second
+	// aliveInterval is how long a connection may carry nothing before the kernel probes it, and the interval of probes. The
+	// kernel of the upstream answers them however slow the upstream is.
+	aliveInterval = 1 * time.Second
+	// aliveLimit is how long probes, or data that was sent, may stay unanswered. The kernel looks when a probe is due, which
+	// is 4 s after the last sign of life and keeps the promise of 5 s for silent connections. Three probes have been lost by
+	// then.
+	aliveLimit  = 3500 * time.Millisecond
+	aliveProbes = 3
+	dialTimeout = 2 * time.Second
 	// reuseWithin is how long an idle connection stays in use. Servers commonly keep idle connections for 5 s and longer, so
 	// a connection that ends before is a sign of a restart.
 	reuseWithin = 2 * time.Second
@@ -34,7 +44,8 @@
 	closed bool
 }
 
-// upstreamConn is a connection whose reads and writes fail when the upstream is silent.
+// upstreamConn is a connection whose reads fail when its kernel probes get no answer, and whose writes also fail when the
+// upstream takes nothing.
 type upstreamConn struct {
 	net.Conn
 	reader *bufio.Reader
@@ -46,14 +57,6 @@
 	retire *time.Timer
 }
 
-// Read reads within the silence limit.
-func (c *upstreamConn) Read(b []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(silenceLimit)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(b)
-}
-
 // Write writes within the silence limit.
 func (c *upstreamConn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(silenceLimit)); err != nil {
@@ -79,8 +82,7 @@
 		}
 		_ = c.Close()
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", p.Address.String())
+	raw, err := p.dialer().DialContext(ctx, "tcp", p.Address.String())
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to upstream")
 	}
@@ -89,6 +91,24 @@
 	return c, nil
 }
 
+// dialer opens connections that fail within the promise for silent ones, however long an answer takes.
+func (p *Pool) dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: aliveInterval, Interval: aliveInterval, Count: aliveProbes,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failure error
+			// While data is unacknowledged the kernel sends no keep-alive probes, and would send the data again for minutes.
+			err := raw.Control(func(fd uintptr) {
+				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(aliveLimit.Milliseconds()))
+			})
+			return errors.Join(err, failure)
+		},
+	}
+}
+
 // put keeps a connection for later requests.
 func (p *Pool) put(c *upstreamConn) {
 	p.mu.Lock()
@@ -106,9 +126,8 @@
 // watch notices the end of an idle connection.
 func (p *Pool) watch(c *upstreamConn) {
 	_, err := c.Conn.Read(make([]byte, 1))
-	if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
-		c.ended = true
-	}
+	// A connection that the kernel gave up has timed out too, and has ended.
+	c.ended = !errors.Is(err, os.ErrDeadlineExceeded)
 	close(c.watched)
 	if c.ended && p.drop(c) && p.Broken != nil {
 		p.Broken()
@@ -138,7 +157,7 @@
 		return false
 	}
 	<-c.watched
-	return !c.ended
+	return !c.ended && c.SetReadDeadline(time.Time{}) == nil
 }
 
 // Forget closes all idle connections, because one of their kind went silent.
