--- a/internal/front/responder/relay.go
+++ b/internal/front/responder/relay.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/peridotstage/peridotstage/internal/route/carrier"
 	"github.com/peridotstage/peridotstage/internal/route/tracker"
 )
 
@@ -37,7 +38,7 @@
 
 func newRelay(upstream netip.AddrPort, answer func(netip.AddrPort, []byte), t *tracker.Tracker, m AnswerMeter) *relay {
 	r := &relay{upstream: upstream, answer: answer, tracker: t, meter: m, flows: map[netip.AddrPort]*relayFlow{}}
-	r.buffers.New = func() any { b := make([]byte, maxDatagram); return &b }
+	r.buffers.New = func() any { b := make([]byte, carrier.MaxDatagram); return &b }
 	return r
 }
 
@@ -73,6 +74,17 @@
 	}
 }
 
+// closeEnded closes the flows that the tracker does not hold any more.
+func (r *relay) closeEnded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for caller, f := range r.flows {
+		if !r.tracker.Holds(caller) {
+			_ = f.conn.Close()
+		}
+	}
+}
+
 func (r *relay) receive(caller netip.AddrPort, f *relayFlow) {
 	conn := f.conn
 	defer func() {
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -23,6 +23,7 @@
 	SettingsReloaded = Event{1104, "settings file read again"}
 	SettingsRefused  = Event{1105, "settings file refused"}
 	NeedsRestart     = Event{1106, "changed setting needs a restart"}
+	FlowsCut         = Event{1107, "plain UDP flows cut at the drain deadline"}
 	HeartbeatFailed  = Event{2001, "heartbeat failed"}
 	RevisionEnforced = Event{2002, "revision enforced"}
 	AnnounceRefused  = Event{2003, "announcement refused"}
