--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	r.udp = udp
-	r.buffers.New = func() any { b := make([]byte, 0, carrier.MaxDatagram); return &b }
+	r.buffers.New = func() any { b := make([]byte, 0, encoder.MaxHeaderSize+usualDatagram); return &b }
 	r.done = make(chan struct{})
 	go r.receive()
 	go r.probe()
