--- a/internal/fake/deployer/client.go
+++ b/internal/fake/deployer/client.go
@@ -242,8 +242,10 @@
 	base      string
 	transport *quic.Transport
 	conn      net.PacketConn
-	dials     atomic.Int64
-	latest    atomic.Pointer[quic.Conn]
+	// moved holds the sockets that the caller migrated to.
+	moved  []io.Closer
+	dials  atomic.Int64
+	latest atomic.Pointer[quic.Conn]
 	// final is set once no connection may be opened any more.
 	final atomic.Bool
 }
@@ -296,8 +298,31 @@
 	return c
 }
 
-// Close closes the connection and the socket.
+// Migrate moves the newest connection to a new socket with another IP address (RFC 9000, section 9).
+func (c *Caller) Migrate(ctx context.Context, to netip.Addr) error {
+	conn, err := net.ListenPacket("udp", netip.AddrPortFrom(to, 0).String())
+	if err != nil {
+		return err
+	}
+	next := &quic.Transport{Conn: conn}
+	c.moved = append(c.moved, next, conn)
+	path, err := c.latest.Load().AddPath(next)
+	if err != nil {
+		return err
+	}
+	if err := path.Probe(ctx); err != nil {
+		return err
+	}
+	return path.Switch()
+}
+
+// Close closes the connection and the sockets.
 func (c *Caller) Close() {
+	defer func() {
+		for _, m := range c.moved {
+			_ = m.Close()
+		}
+	}()
 	_ = c.Transport.Close()
 	_ = c.transport.Close()
 	_ = c.conn.Close()
--- a/internal/fake/sprayer/sprayer.go
+++ b/internal/fake/sprayer/sprayer.go
@@ -32,6 +32,8 @@
 	random  *rand.Rand
 	entries []netip.AddrPort
 	callers map[netip.AddrPort]*net.UDPConn
+	// sources are the IP addresses that stand for callers whose address has changed.
+	sources map[netip.AddrPort]netip.Addr
 	// forgotten holds the callers whose datagrams are lost for good.
 	forgotten map[netip.AddrPort]bool
 	closed    bool
@@ -67,6 +69,18 @@
 	}
 }
 
+// Rebind gives each caller that has been seen so far a new port towards the entries, or a new address if change returns
+// another one, as an address translator does that lost its table. Datagrams to the old addresses are lost.
+func (s *Sprayer) Rebind(change func(netip.Addr) netip.Addr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for caller, conn := range s.callers {
+		s.sources[caller] = change(caller.Addr())
+		delete(s.callers, caller)
+		_ = conn.Close()
+	}
+}
+
 // Run starts carrying datagrams. Close ends it.
 func (s *Sprayer) Run() error {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Address))
@@ -79,6 +93,7 @@
 	s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
 	s.forgotten = map[netip.AddrPort]bool{}
 	s.callers = map[netip.AddrPort]*net.UDPConn{}
+	s.sources = map[netip.AddrPort]netip.Addr{}
 	s.wg.Go(s.fromCallers)
 	return nil
 }
@@ -123,8 +138,12 @@
 	}
 	conn := s.callers[caller]
 	if conn == nil {
+		source, ok := s.sources[caller]
+		if !ok {
+			source = caller.Addr()
+		}
 		var err error
-		conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(caller.Addr(), 0)))
+		conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(source, 0)))
 		if err != nil {
 			return nil, netip.AddrPort{}, false
 		}
