Mark an upstream silent once its machine announces another one

Cause (from reading, not traced): upkeep took an upstream for live while its machine was heard, whatever the machine announced. An agent that returned under another upstream name left the old upstream in the generations of its service, and the packets of its callers were dropped at that agent. TestUpkeep has the case and fails without the change.

--- a/internal/control/leaser/leaser_test.go
+++ b/internal/control/leaser/leaser_test.go
@@ -115,18 +115,23 @@
 			HeardAt: t0.Add(-ago),
 		}
 	}
+	moved := func(s Session) Session {
+		s.Announcement = &Announcement{Upstream: "u9", Service: "s"}
+		return s
+	}
 	for name, tc := range map[string]struct {
 		sessions []Session
 		silent   int
 		before   registrar.Revision
 	}{
-		"flows of the first generation": {[]Session{session(0, 4, 2, 0), session(1, 4, 0, 0), session(2, 4, 4, 0)}, 0, 0},
-		"flows of the second":           {[]Session{session(0, 4, 3, 0), session(1, 4, 0, 0), session(2, 4, 4, 0)}, 0, 3},
-		"no flows":                      {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 0), session(2, 4, 0, 0)}, 0, 4},
-		"one agent is behind":           {[]Session{session(0, 3, 0, 0), session(1, 4, 0, 0), session(2, 4, 0, 0)}, 0, 3},
-		"one agent has gone":            {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 11*time.Second), session(2, 4, 0, 0)}, 1, 0},
-		"one agent was never heard":     {[]Session{session(0, 4, 0, 0), session(2, 4, 0, 0)}, 1, 0},
-		"heard 9 s ago":                 {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 9*time.Second), session(2, 4, 0, 0)}, 0, 4},
+		"flows of the first generation":  {[]Session{session(0, 4, 2, 0), session(1, 4, 0, 0), session(2, 4, 4, 0)}, 0, 0},
+		"flows of the second":            {[]Session{session(0, 4, 3, 0), session(1, 4, 0, 0), session(2, 4, 4, 0)}, 0, 3},
+		"no flows":                       {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 0), session(2, 4, 0, 0)}, 0, 4},
+		"one agent is behind":            {[]Session{session(0, 3, 0, 0), session(1, 4, 0, 0), session(2, 4, 0, 0)}, 0, 3},
+		"one agent has gone":             {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 11*time.Second), session(2, 4, 0, 0)}, 1, 0},
+		"one agent was never heard":      {[]Session{session(0, 4, 0, 0), session(2, 4, 0, 0)}, 1, 0},
+		"one agent has another upstream": {[]Session{session(0, 4, 0, 0), moved(session(1, 4, 0, 0)), session(2, 4, 0, 0)}, 1, 0},
+		"heard 9 s ago":                  {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 9*time.Second), session(2, 4, 0, 0)}, 0, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := Upkeep(t0, w, tc.sessions)
--- a/internal/control/leaser/upkeep.go
+++ b/internal/control/leaser/upkeep.go
@@ -63,7 +63,9 @@
 	oldest := map[registrar.ServiceName]registrar.Revision{}
 	for _, u := range w.Upstreams() {
 		s, heard := newest[u.Machine]
-		live := heard && now.Before(s.HeardAt.Add(SilentAfter))
+		// A machine that announces another upstream has left this one, for example because it has changed its service.
+		left := s.Announcement != nil && s.Announcement.Upstream != u.Name
+		live := heard && !left && now.Before(s.HeardAt.Add(SilentAfter))
 		if !live && !u.Silent {
 			m, _ := w.Machine(u.Machine)
 			f.Silent = append(f.Silent, planner.SilentFact{Upstream: u.Name, Machine: u.Machine, Incarnation: m.Incarnation})
