Test a silent cut of a control instance for 2 minutes

Cause: a silent cut was tested for 15 s only.

TestInstanceCutOffLong silences a follower of five for 2 minutes while changes are confirmed, and freezes the leader for 40 s, so that the others elect another one. No instance and no entry may go back, nothing may reach the instance that is cut off, and it has to catch up within 3 s after the cut heals, without disturbing the leader.

--- a/internal/cli/runner/cutoff_test.go
+++ b/internal/cli/runner/cutoff_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/fake/deployer"
+	"github.com/peridotstage/peridotstage/internal/front/administrator"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
@@ -108,3 +110,63 @@
 	require.Equal(t, before, e.got.Load(), "a datagram reached an upstream after the proof")
 	require.Equal(t, 5, e.untilStopped(nil).Totals.Confirmed)
 }
+
+const (
+	// longCut outlasts every time of the protocol and the logs' memory of a peer that was away for a short time.
+	longCut = 2 * time.Minute
+	// changePause spreads the changes over the cut.
+	changePause = 300 * time.Millisecond
+)
+
+// TestInstanceCutOffLong guards against an instance that reverts something, disturbs the others or does not catch up after it
+// was silently cut off for minutes, in which the others confirmed changes and elected another leader.
+func TestInstanceCutOffLong(t *testing.T) {
+	d := deployer.New(t, deployer.Options{
+		Controls: 5, Entries: 3, Region: "johor", Zones: []registrar.ZoneName{"johor-a", "johor-b", "johor-c"},
+	})
+	c := newCutter(t, d)
+	first := leader(t, d)
+	off := (first + 1) % d.Controls
+	newest := make([]registrar.Revision, d.Controls)
+	c.silence(off)
+	start, elected := time.Now(), false
+	var last registrar.Revision
+	for time.Since(start) < longCut {
+		if !elected && time.Since(start) > longCut/3 {
+			elected = true
+			process(d, first).Freeze()
+			defer time.AfterFunc(longCut/3, process(d, first).Thaw).Stop()
+		}
+		r := carryElsewhere(t, d, off)
+		require.Greater(t, r, last)
+		last = r
+		neverBack(t, d, newest, first, elected && time.Since(start) < 2*longCut/3+time.Second)
+		time.Sleep(changePause)
+	}
+	before := leader(t, d)
+	require.NotEqual(t, first, before, "no election")
+	require.Less(t, newest[off], last, "the cut lets something through")
+	c.heal()
+	require.Eventually(t, func() bool {
+		neverBack(t, d, newest, first, false)
+		return newest[off] >= last
+	}, inForce, 20*time.Millisecond, "the instance does not catch up")
+	require.Equal(t, before, leader(t, d), "the returning instance disturbs the leader")
+	waitInForceAt(t, d, off, carryElsewhere(t, d, off))
+	t.Logf("revision %d", last)
+}
+
+// neverBack reads the revision of each instance and fails the test if one is older than before.
+func neverBack(t *testing.T, d *deployer.Deployment, newest []registrar.Revision, frozen int, isFrozen bool) {
+	t.Helper()
+	for i := range newest {
+		if i == frozen && isFrozen {
+			continue
+		}
+		var st administrator.Status
+		if _, err := d.API(i, "GET", "/v1/status", nil, &st); err == nil {
+			require.GreaterOrEqual(t, st.Revision, newest[i], fmt.Sprintf("control-%d went back", i))
+			newest[i] = st.Revision
+		}
+	}
+}
