Measure bytes between control instances and slow disks

Cause: neither the traffic between control instances nor the effect of a slow fsync had been measured.

A counter peer_bytes has the bytes of an instance's calls to the others. journaler.Syncer makes files durable, so that a measurement can delay it; it stands for fsync otherwise.

--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -49,7 +49,7 @@
 		return err
 	}
 	sessions := &leaser.Leaser{}
-	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Directory: log, TLS: keys.Client}
+	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Directory: log, TLS: keys.Client, Traffic: &peers.Traffic}
 	announcements := newAnnouncer(log, rec)
 	e, err := newExporter(cfg.Machine, func(now time.Time) error {
 		if ctx.Err() != nil {
@@ -65,7 +65,7 @@
 	}
 	burns := newCollector(cfg)
 	report := burnReport(burns, ledger.World)
-	if err := errors.Join(exportControl(e, ledger.World, sessions), exportBurn(e, report)); err != nil {
+	if err := errors.Join(exportControl(e, ledger.World, sessions, &peers.Traffic), exportBurn(e, report)); err != nil {
 		return err
 	}
 	g := newGroup(ctx)
--- a/internal/cli/runner/metrics.go
+++ b/internal/cli/runner/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/report/burner"
 	"github.com/peridotstage/peridotstage/internal/report/exporter"
 	"github.com/peridotstage/peridotstage/internal/route/carrier"
@@ -105,7 +106,11 @@
 }
 
 // exportControl adds the metrics of a control instance.
-func exportControl(e *exporter.Exporter, w *registrar.World, sessions *leaser.Leaser) error {
+func exportControl(e *exporter.Exporter, w *registrar.World, sessions *leaser.Leaser, peers *connector.Traffic) error {
+	peerBytes := func(emit exporter.Emit) {
+		emit(int64(peers.Sent()), attribute.String("direction", "sent"))
+		emit(int64(peers.Received()), attribute.String("direction", "received"))
+	}
 	nodes := func(emit exporter.Emit) {
 		var leased, lost int64
 		now := time.Now()
@@ -120,6 +125,7 @@
 		emit(lost, attribute.String("lease", "expired"))
 	}
 	return errors.Join(
+		e.Counter("peer_bytes", "Bytes of calls to other control instances, including TLS.", peerBytes),
 		e.Gauge("nodes", "Entries and agents that sent heartbeats to this instance, by lease.", nodes),
 		e.Gauge("revision", "Newest configuration revision that the instance holds.", revisionOf(w)),
 	)
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -15,6 +15,7 @@
 
 	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/store/journaler"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
@@ -55,6 +56,8 @@
 	Sender    Sender
 	Forwarder Forwarder
 	Recorder  *recorder.Recorder
+	// Syncer makes the journal durable; nil stands for fsync.
+	Syncer journaler.Syncer
 	// SnapshotEntries is the number of entries after which a snapshot is taken; 0 stands for a default.
 	SnapshotEntries replicator.Index
 
@@ -75,6 +78,7 @@
 	}
 	d.events = make(chan replicator.Event, eventQueue)
 	d.ended = make(chan struct{})
+	d.store.journal.Syncer = d.Syncer
 	st, err := d.store.open(d.Folder)
 	if err != nil {
 		return err
--- a/internal/front/connector/client.go
+++ b/internal/front/connector/client.go
@@ -26,6 +26,8 @@
 	TLS func() *tls.Config
 	// Traffic counts the bytes of all connections of the client.
 	Traffic Traffic
+	// Total counts them together with those of other clients; nil for no such count.
+	Total *Traffic
 
 	// mu is held during a call, because a drpc connection carries one call at a time.
 	mu   sync.Mutex
--- a/internal/front/connector/forward.go
+++ b/internal/front/connector/forward.go
@@ -57,7 +57,7 @@
 		p.idle[a] = list[:len(list)-1]
 		return c
 	}
-	return &Client{Address: a, TLS: p.TLS}
+	return &Client{Address: a, TLS: p.TLS, Total: &p.Traffic}
 }
 
 func (p *Peers) keep(c *Client) {
--- a/internal/front/connector/peers.go
+++ b/internal/front/connector/peers.go
@@ -41,6 +41,8 @@
 	Recorder *recorder.Recorder
 	// Addresses knows where control instances take calls.
 	Addresses AddressBook
+	// Traffic counts the bytes of calls to other instances.
+	Traffic Traffic
 
 	mu    sync.Mutex
 	ctx   context.Context
@@ -150,7 +152,7 @@
 
 // drain sends the messages of one peer until ctx ends.
 func (p *Peers) drain(ctx context.Context, b *outbox) {
-	c := &Client{TLS: p.TLS}
+	c := &Client{TLS: p.TLS, Total: &p.Traffic}
 	defer c.Close()
 	for {
 		select {
--- a/internal/front/connector/sessions.go
+++ b/internal/front/connector/sessions.go
@@ -88,6 +88,8 @@
 	Leaser    *leaser.Leaser
 	Directory Directory
 	TLS       func() *tls.Config
+	// Traffic counts the bytes of calls to other instances; nil for no count.
+	Traffic *Traffic
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -154,7 +156,7 @@
 		c.peers = map[registrar.MachineName]*Client{}
 	}
 	if old := c.peers[name]; old == nil || old.Address != address {
-		c.peers[name] = &Client{Address: address, TLS: c.TLS}
+		c.peers[name] = &Client{Address: address, TLS: c.TLS, Total: c.Traffic}
 	}
 	return c.peers[name]
 }
--- a/internal/front/connector/traffic.go
+++ b/internal/front/connector/traffic.go
@@ -22,17 +22,20 @@
 type countedConn struct {
 	net.Conn
 	traffic *Traffic
+	total   *Traffic
 }
 
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.traffic.received.Add(uint64(n))
+	c.total.received.Add(uint64(n))
 	return n, err
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.traffic.sent.Add(uint64(n))
+	c.total.sent.Add(uint64(n))
 	return n, err
 }
 
@@ -46,7 +49,11 @@
 	if cfg.ServerName == "" {
 		cfg.ServerName = c.Address.Addr().String()
 	}
-	conn := tls.Client(&countedConn{Conn: &watchedConn{Conn: raw, limit: clientSilence}, traffic: &c.Traffic}, cfg)
+	total := c.Total
+	if total == nil {
+		total = &Traffic{}
+	}
+	conn := tls.Client(&countedConn{Conn: &watchedConn{Conn: raw, limit: clientSilence}, traffic: &c.Traffic, total: total}, cfg)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, err
--- a/internal/store/journaler/file.go
+++ b/internal/store/journaler/file.go
@@ -29,7 +29,7 @@
 	if err := os.Rename(temp, path); err != nil {
 		return eris.Wrap(err, "replace file")
 	}
-	return syncFolder(filepath.Dir(path))
+	return syncFolder(filepath.Dir(path), FileSyncer{})
 }
 
 // Load reads a file that Save wrote. It returns false if there is none, and ErrCorrupt if it is damaged.
--- a/internal/store/journaler/journal.go
+++ b/internal/store/journaler/journal.go
@@ -37,11 +37,24 @@
 	mark Mark
 }
 
+// Syncer makes written files durable.
+type Syncer interface {
+	Sync(f *os.File) error
+}
+
+// FileSyncer calls fsync.
+type FileSyncer struct{}
+
+// Sync makes the content of a file or the entries of a folder durable.
+func (FileSyncer) Sync(f *os.File) error { return f.Sync() }
+
 // Journal is an append-only sequence of records in one folder. The exported fields are set before Open.
 type Journal struct {
 	Folder string
 	// SegmentSize is the size at which a new segment begins; 0 stands for DefaultSegmentSize.
 	SegmentSize int64
+	// Syncer makes the files durable; nil stands for FileSyncer.
+	Syncer Syncer
 
 	mu       sync.Mutex
 	segments []segment
@@ -60,6 +73,9 @@
 	if j.SegmentSize == 0 {
 		j.SegmentSize = DefaultSegmentSize
 	}
+	if j.Syncer == nil {
+		j.Syncer = FileSyncer{}
+	}
 	if err := os.MkdirAll(j.Folder, folderMode); err != nil {
 		return eris.Wrap(err, "create journal folder")
 	}
@@ -162,7 +178,7 @@
 	if err := f.Truncate(j.size); err != nil {
 		return eris.Wrap(err, "cut torn tail")
 	}
-	return eris.Wrap(f.Sync(), "sync segment")
+	return eris.Wrap(j.Syncer.Sync(f), "sync segment")
 }
 
 // create begins a segment. Its folder entry is durable when it returns.
@@ -175,7 +191,7 @@
 	if _, err := f.Write(header(id)); err != nil {
 		return eris.Wrap(err, "write segment header")
 	}
-	if err := f.Sync(); err != nil {
+	if err := j.Syncer.Sync(f); err != nil {
 		return eris.Wrap(err, "sync segment")
 	}
 	if j.file != nil {
@@ -183,7 +199,7 @@
 	}
 	j.file, j.size = f, segmentHeader
 	j.segments = append(j.segments, s)
-	return syncFolder(j.Folder)
+	return syncFolder(j.Folder, j.Syncer)
 }
 
 // Append makes records durable. mark is the highest mark among them.
@@ -203,7 +219,7 @@
 		j.failed = eris.Wrap(err, "write records")
 		return j.failed
 	}
-	if err := j.file.Sync(); err != nil {
+	if err := j.Syncer.Sync(j.file); err != nil {
 		j.failed = eris.Wrap(err, "sync records")
 		return j.failed
 	}
@@ -243,7 +259,7 @@
 			return eris.Wrap(err, "remove segment")
 		}
 		// The removal must be durable in order, or a restart would find a gap.
-		if err := syncFolder(j.Folder); err != nil {
+		if err := syncFolder(j.Folder, j.Syncer); err != nil {
 			return err
 		}
 		n++
@@ -265,13 +281,13 @@
 	return eris.Wrap(err, "close segment")
 }
 
-func syncFolder(path string) error {
+func syncFolder(path string, s Syncer) error {
 	d, err := os.Open(path)
 	if err != nil {
 		return eris.Wrap(err, "open folder")
 	}
 	defer d.Close()
-	return eris.Wrap(d.Sync(), "sync folder")
+	return eris.Wrap(s.Sync(d), "sync folder")
 }
 
 // Exists reports whether the folder holds a segment.
