--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	sessions := &leaser.Leaser{}
-	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Directory: log, TLS: keys.Client}
+	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Directory: log, TLS: keys.Client, Traffic: &peers.Traffic}
 	announcements := newAnnouncer(log, rec)
 	e, err := newExporter(cfg.Machine, func(now time.Time) error {
 		if ctx.Err() != nil {
@@ -69,7 +69,7 @@
 	burns := store.collector
 	reload.setters = controlSetters(burns)
 	report := burnReport(burns, ledger.World)
-	if err := errors.Join(exportControl(e, ledger.World, sessions), exportBurn(e, report)); err != nil {
+	if err := errors.Join(exportControl(e, ledger.World, sessions, &peers.Traffic), exportBurn(e, report)); err != nil {
 		return err
 	}
 	g := newGroup(ctx)
