Run the tests that start processes after all others

They ran beside the randomized tests, which use all cores: TestRestartAfterChanges and TestColdStart each failed once in a whole run and not alone.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,10 @@
 	$(GO) build -o bin/peridotstage .
 	$(GO) build -o bin/standin ./internal/fake/standin
 
+# The tests that start processes come last and one package at a time, because they depend on the timing of the machine.
 test:
-	$(GO) test -race -timeout 20m ./...
+	$(GO) test -race -timeout 20m $$($(GO) list ./... | grep -v /internal/cli/)
+	$(GO) test -race -timeout 25m -p 1 ./internal/cli/...
 
 tools:
 	cd tools && GOBIN="$(TOOLS)" $(GO) install tool
