Mark an upstream silent once its machine announces another service

Cause: an agent that came back under the same upstream name with another service was refused, and its machine still counted as live, so the earlier upstream stayed a member and its callers were not answered for more than 15 s. TestUpstreamChangesService found it.

--- a/internal/cli/runner/address_test.go
+++ b/internal/cli/runner/address_test.go
@@ -3,17 +3,112 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/require"
 
+	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/fake/deployer"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
+// ask sends a datagram from a port of its own until it is answered, and returns the name of the upstream that has answered.
+func ask(t *testing.T, from netip.Addr, to netip.AddrPort, question string) (holder string) {
+	t.Helper()
+	conn, err := net.DialUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(from, 0)), net.UDPAddrFromAddrPort(to))
+	require.NoError(t, err)
+	defer conn.Close()
+	b := make([]byte, 1<<10)
+	require.Eventually(t, func() bool {
+		_, _ = conn.Write([]byte(question))
+		_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		n, err := conn.Read(b)
+		holder, _, _ = strings.Cut(string(b[:n]), " ")
+		return err == nil && strings.HasSuffix(string(b[:n]), question)
+	}, deployer.WaitTime, time.Millisecond, "%s is not answered", question)
+	return holder
+}
+
+// TestIPv6 guards against a service address or a caller on IPv6 that is lost on the way between entry and agent.
+func TestIPv6(t *testing.T) {
+	zones := []registrar.ZoneName{"johor-a"}
+	d := deployer.New(t, deployer.Options{
+		Controls: 1, Entries: 1, Region: "johor", Zones: zones,
+		Services: []deployer.Service{{Name: "telemetry", Transport: registrar.TransportUDP, Slots: 2, Zones: zones}},
+	})
+	d.Echoes(0)
+	d.StartAll()
+	free, err := net.ListenPacket("udp", "[::1]:0")
+	require.NoError(t, err)
+	address := netip.MustParseAddrPort(free.LocalAddr().String())
+	require.NoError(t, free.Close())
+	d.Carry(planner.Intent{Kind: planner.AddZone, Zone: &registrar.Zone{Name: "johor-a", Region: "johor"}})
+	d.Carry(planner.Intent{Kind: planner.AddCustomer, Customer: &registrar.Customer{Name: "estate"}})
+	d.Carry(planner.Intent{Kind: planner.AddService, Service: &registrar.Service{
+		Name: "telemetry", Address: address, Transport: registrar.TransportUDP,
+	}})
+	d.Carry(planner.Intent{Kind: planner.AddContract, Contract: &registrar.Contract{
+		Name: "estate-telemetry", Customer: "estate", Service: "telemetry",
+		SourcePrefixes: []netip.Prefix{netip.MustParsePrefix("::1/128")},
+	}})
+	d.WaitReady()
+	require.Equal(t, "telemetry-0", ask(t, address.Addr(), address, "question 1"))
+}
+
+// TestUpstreamChangesService guards promise 2 while an upstream goes over to another service under the same address: no
+// datagram of the earlier service may reach it any more, whose callers go on, and it must get those of the new one. Under its
+// earlier name it is refused.
+func TestUpstreamChangesService(t *testing.T) {
+	zones := []registrar.ZoneName{"johor-a", "johor-b"}
+	d := deployer.New(t, deployer.Options{
+		Controls: 1, Entries: 2, Region: "johor", Zones: zones,
+		Services: []deployer.Service{
+			{Name: "catalogue", Transport: registrar.TransportUDP, Slots: 2, Zones: zones},
+			{Name: "telemetry", Transport: registrar.TransportUDP, Slots: 2, Zones: zones},
+		},
+	})
+	for i := range d.Services {
+		d.Echoes(i)
+		d.Fabric(i, uint64(i))
+	}
+	d.StartAll()
+	d.Configure("estate")
+	askAll := func(s int) map[string]int {
+		holders := map[string]int{}
+		for n := range 40 {
+			holders[ask(t, d.CallerAddr(n), d.ServiceAddr(s), fmt.Sprintf("question %s %d", d.Services[s].Name, n))]++
+		}
+		return holders
+	}
+	require.Contains(t, askAll(0), "catalogue-0")
+	for _, c := range []struct {
+		name     registrar.UpstreamName
+		accepted bool
+	}{{"catalogue-0", false}, {"telemetry-9", true}} {
+		d.Process("agent-catalogue-0").Kill()
+		s := d.AgentSettings(1, 0)
+		for _, field := range []string{"name", "zone", "control_address", "metrics_address", "keys", "data_address", "upstream_address"} {
+			s[field] = d.AgentSettings(0, 0)[field]
+		}
+		s["upstream"] = c.name
+		d.Start("agent", "agent-catalogue-0", s)
+		require.Equal(t, map[string]int{"catalogue-1": 40}, askAll(0), "the upstream, now %s, serves its earlier service", c.name)
+		if !c.accepted {
+			require.NotContains(t, askAll(1), "catalogue-0")
+			require.Contains(t, d.Log("agent-catalogue-0"), `\"catalogue-0\" belongs to service`)
+			continue
+		}
+		require.Eventually(t, func() bool { return askAll(1)["catalogue-0"] > 0 }, deployer.WaitTime, time.Millisecond)
+	}
+}
+
 // TestCallerMoves guards against a QUIC connection that breaks, or a request that gets no answer, when the address of its
 // caller changes in the middle: by an address translator, which the caller does not notice, or by migration. The new
 // address may lie at another entry.
--- a/internal/control/leaser/leaser_test.go
+++ b/internal/control/leaser/leaser_test.go
@@ -115,8 +115,8 @@
 			HeardAt: t0.Add(-ago),
 		}
 	}
-	moved := func(s Session) Session {
-		s.Announcement = &Announcement{Upstream: "u9", Service: "s"}
+	announcing := func(s Session, upstream registrar.UpstreamName, service registrar.ServiceName) Session {
+		s.Announcement = &Announcement{Upstream: upstream, Service: service}
 		return s
 	}
 	for name, tc := range map[string]struct {
@@ -130,7 +130,8 @@
 		"one agent is behind":            {[]Session{session(0, 3, 0, 0), session(1, 4, 0, 0), session(2, 4, 0, 0)}, 0, 3},
 		"one agent has gone":             {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 11*time.Second), session(2, 4, 0, 0)}, 1, 0},
 		"one agent was never heard":      {[]Session{session(0, 4, 0, 0), session(2, 4, 0, 0)}, 1, 0},
-		"one agent has another upstream": {[]Session{session(0, 4, 0, 0), moved(session(1, 4, 0, 0)), session(2, 4, 0, 0)}, 1, 0},
+		"one agent has another upstream": {[]Session{session(0, 4, 0, 0), announcing(session(1, 4, 0, 0), "u9", "s"), session(2, 4, 0, 0)}, 1, 0},
+		"one agent has another service":  {[]Session{session(0, 4, 0, 0), announcing(session(1, 4, 0, 0), "u1", "r"), session(2, 4, 0, 0)}, 1, 0},
 		"heard 9 s ago":                  {[]Session{session(0, 4, 0, 0), session(1, 4, 0, 9*time.Second), session(2, 4, 0, 0)}, 0, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/control/leaser/upkeep.go
+++ b/internal/control/leaser/upkeep.go
@@ -63,8 +63,8 @@
 	oldest := map[registrar.ServiceName]registrar.Revision{}
 	for _, u := range w.Upstreams() {
 		s, heard := newest[u.Machine]
-		// A machine that announces another upstream has left this one, for example because it has changed its service.
-		left := s.Announcement != nil && s.Announcement.Upstream != u.Name
+		// A machine that announces another upstream or service has left this one, even if the announcement is refused.
+		left := s.Announcement != nil && (s.Announcement.Upstream != u.Name || s.Announcement.Service != u.Service)
 		live := heard && !left && now.Before(s.HeardAt.Add(SilentAfter))
 		if !live && !u.Silent {
 			m, _ := w.Machine(u.Machine)
