End the requests of a cut customer at the upstream before the proof

Cause: a keyed request goes on when the connection of its caller ends, so that the caller can come back for the answer. A cut closes connections only, so such a request went on at the upstream for up to its deadline while the proof said that the traffic had stopped; in the test both slots were busy. A request in the queue could also begin at the upstream after the cut, after the withdrawal of the zone or after the end of the lease.

Ruled out: counting such requests as flows in the proof, which would hold a proof up for as long as a job takes. Agents cancel the requests of callers that may no longer use them when they enforce the change, and ask again right before the upstream gets anything.

TestProofLongRequests passes (16 s) and fails without the cancellation. It passes without the second check, which no test guards. The stand-in backend reads the body now, since its server does not notice a cancelled request before that.

--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -198,7 +198,7 @@
 		Answers: &answerMeter{meter: a.meter, service: cfg.Service, customers: a.tracker},
 		Handler: &meteredHandler{next: a.handler, meter: a.meter, service: cfg.Service, customers: a.tracker},
 	}
-	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, a.counter, n}
+	n.subscriber.Enforcers = []subscriber.Enforcer{a.admission, a.tracker, a.responder, a.handler, a.counter, n}
 	n.meter(a.meter)
 	n.describe = a.describe
 	a.slots.Store(uint32(cfg.Slots))
--- a/internal/cli/runner/request_test.go
+++ b/internal/cli/runner/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -11,13 +12,17 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/fake/backend"
 	"github.com/peridotstage/peridotstage/internal/fake/checker"
 	"github.com/peridotstage/peridotstage/internal/fake/deployer"
 	"github.com/peridotstage/peridotstage/internal/fake/silencer"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // TestAtMostOnce guards promises 5 to 7 with real processes: a second run, a "not run" of a job that reached an upstream, or
@@ -230,3 +235,39 @@
 func addPort(a netip.AddrPort, n uint16) netip.AddrPort {
 	return netip.AddrPortFrom(a.Addr(), a.Port()+n)
 }
+
+// TestProofLongRequests guards against a proof that says "stopped" while requests of the customer go on at an upstream, or wait
+// in a queue and begin there later. Claimed ones do not end with the connection of their caller.
+func TestProofLongRequests(t *testing.T) {
+	e := checker.New(t, 2, 1, nil)
+	e.AwaitClaims(t)
+	for _, b := range e.Backends {
+		b.SetServiceTime(20 * time.Second)
+	}
+	var wg sync.WaitGroup
+	for i := range 6 {
+		c := e.Caller(0, i)
+		wg.Go(func() {
+			defer c.Close()
+			a, err := checker.Post(c, checker.Key(fmt.Sprintf("long-%d", i)), 15*time.Second)
+			assert.False(t, err == nil && a.Status == http.StatusOK, "a customer that was cut off got an answer")
+		})
+	}
+	inFlight := func() (n int64) {
+		for _, b := range e.Backends {
+			n += b.InFlight()
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return inFlight() == 2 }, deployer.WaitTime, deployer.PollTime)
+	e.Carry(planner.Intent{Kind: planner.CutCustomer, Customer: &registrar.Customer{Name: "estate"}})
+	require.Eventually(t, func() bool {
+		var p leaser.Proof
+		_, err := e.API(0, http.MethodGet, "/v1/customers/estate/proof", nil, &p)
+		return err == nil && p.Verdict == leaser.Stopped
+	}, deployer.WaitTime, deployer.PollTime)
+	require.Zero(t, inFlight(), "a request of the customer goes on at an upstream")
+	arrived := e.Requests()
+	wg.Wait()
+	require.Equal(t, arrived, e.Requests(), "a request reached an upstream after the proof")
+}
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -138,6 +139,8 @@
 
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request, answer func()) {
 	b.see(r)
+	// The server notices the end of the connection, which cancels the request, only once the body has been read.
+	_, _ = io.Copy(io.Discard, r.Body)
 	n := b.inFlight.Add(1)
 	defer b.inFlight.Add(-1)
 	b.mu.Lock()
--- a/internal/front/responder/exchange.go
+++ b/internal/front/responder/exchange.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/textproto"
 	"net/url"
 	"strconv"
@@ -46,9 +47,13 @@
 
 // exchange passes one request of a caller to the upstream.
 type exchange struct {
-	pool     *Pool
-	w        http.ResponseWriter
-	r        *http.Request
+	pool *Pool
+	w    http.ResponseWriter
+	r    *http.Request
+	// from is the address of the caller.
+	from netip.Addr
+	// mayPass reports whether the request may go to the upstream now; nil for always.
+	mayPass  func() bool
 	class    dispatcher.Class
 	deadline time.Time
 	// body is the whole body of a claimed request; other bodies are streamed.
@@ -63,6 +68,10 @@
 	if err != nil {
 		return dispatcher.Passage{Result: lostUnless(ctx)}
 	}
+	if x.mayPass != nil && !x.mayPass() {
+		_ = conn.Close()
+		return dispatcher.Passage{Result: limiter.Abandoned}
+	}
 	// Closing the connection is how HTTP/1.1 cancels a request.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	p, reusable := x.passOver(ctx, conn)
--- a/internal/front/responder/handler.go
+++ b/internal/front/responder/handler.go
@@ -45,6 +45,8 @@
 // Customers finds the customer of a source address.
 type Customers interface {
 	Allowed(addr netip.Addr) (registrar.CustomerName, bool)
+	// MayPass reports whether the agent holds a lease and its zone is not withdrawn.
+	MayPass(now time.Time) bool
 }
 
 // Handler translates between HTTP requests of callers and the decisions of the dispatcher. The exported fields are set
@@ -56,6 +58,18 @@
 	Pool       *Pool
 
 	inFlight atomic.Int64
+	active   activeRequests
+}
+
+// Update ends the requests of callers that may no longer use the agent. A claimed one would go on at the upstream without
+// its connection, and a queued one would begin there.
+func (h *Handler) Update(*registrar.World) {
+	h.active.cancelIf(func(from netip.Addr) bool { return !h.allowed(from) })
+}
+
+func (h *Handler) allowed(from netip.Addr) bool {
+	_, ok := h.Customers.Allowed(from)
+	return ok
 }
 
 // InFlight returns the number of requests in progress.
@@ -80,6 +94,16 @@
 	}
 	ctx, cancel := requestContext(r.Context(), req)
 	defer cancel()
+	defer h.active.add(x.from, cancel)()
+	// Asked right before the upstream gets anything, since the request may have waited in the queue through a cut, the
+	// withdrawal of the zone or the end of the lease.
+	x.mayPass = func() bool {
+		if h.Customers.MayPass(time.Now()) && h.allowed(x.from) {
+			return true
+		}
+		cancel()
+		return false
+	}
 	d = h.Dispatcher.Dispatch(ctx, req, x)
 	switch {
 	case d.Begun && d.Outcome != dispatcher.Done:
@@ -134,7 +158,8 @@
 	if err != nil {
 		return refuse(errCustomer)
 	}
-	customer, ok := h.Customers.Allowed(from.Addr().Unmap())
+	addr := from.Addr().Unmap()
+	customer, ok := h.Customers.Allowed(addr)
 	if !ok {
 		return refuse(errCustomer)
 	}
@@ -147,7 +172,7 @@
 		// A streamed body cannot be sent twice.
 		req.Class = dispatcher.Once
 	}
-	x := &exchange{pool: h.Pool, w: w, r: r, class: req.Class}
+	x := &exchange{pool: h.Pool, w: w, r: r, from: addr, class: req.Class}
 	if req.Class == dispatcher.Claimed {
 		if err := h.claim(now, r, x, &req); err != nil {
 			return refuse(err)
