--- a/internal/admit/budgeter/budgeter_test.go
+++ b/internal/admit/budgeter/budgeter_test.go
@@ -4,12 +4,15 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"github.com/peridotstage/peridotstage/internal/admit/budgeter"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // TestBudget guards the bound on retries: in any order of tries, each customer's retries stay below a tenth of its own first
 // tries, and other customers do not matter.
 func TestBudget(t *testing.T) {
--- a/internal/front/responder/pool_test.go
+++ b/internal/front/responder/pool_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 
 	"github.com/peridotstage/peridotstage/internal/admit/limiter"
 	"github.com/peridotstage/peridotstage/internal/fake/backend"
@@ -18,6 +19,8 @@
 	"github.com/peridotstage/peridotstage/internal/request/dispatcher"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // promise is within how long a silent connection is found.
 const promise = 5 * time.Second
 
--- a/internal/front/spreader/spreader_test.go
+++ b/internal/front/spreader/spreader_test.go
@@ -5,10 +5,13 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 
 	"github.com/peridotstage/peridotstage/internal/front/spreader"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // TestEach guards against tasks that are skipped, run twice or run on more goroutines than the bound allows.
 func TestEach(t *testing.T) {
 	for _, bound := range []spreader.Spreader{0, 1, 3, 8} {
--- a/internal/report/burner/burner_test.go
+++ b/internal/report/burner/burner_test.go
@@ -8,11 +8,14 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 var start = time.Unix(1_700_000_000, 0)
 
 func newCollector(all ...Objective) *Collector {
