Admit a new connection from the address of one that ended at a retired upstream

Cause: the owner of the bucket asks along the chain for the holder of the flow. An agent that knew the address from an ended connection, and takes no new flows, passed the first datagram back as a redirect, which is refused for an agent that has been asked. All tries of the caller were dropped until the record expired. The agent now returns the datagram as unclaimed, so the owner admits it.

This fault explains it if the kernel gave that call the port of an earlier one, but no trace shows the ports. Ruled out: lost leases and wrong tables (no event in the logs; 6,751 new connections while an upstream was retired and restored every 3 s were all answered).

TestReopenedAfterRetirement fails without the change.

--- a/internal/route/tracker/reopen.go
+++ b/internal/route/tracker/reopen.go
@@ -24,7 +24,12 @@
 	b := balancer.BucketOf(h.Flow)
 	chosen := t.route.Newest().Choice(b)
 	for _, to := range []registrar.UpstreamID{chosen.Owner, chosen.Second} {
-		if to != 0 && to != t.self.ID && !h.Has(carrier.Redirected) {
+		switch {
+		case to == 0 || to == t.self.ID || h.Has(carrier.Redirected):
+		case h.HasAsked(to):
+			// That agent looks for the holder of the flow along the chain. It may take the connection, as if there was none.
+			return t.passTo(h, to, carrier.Unclaimed)
+		default:
 			return t.passTo(h, to, carrier.Redirected)
 		}
 	}
