Add routes and replacement of the whole configuration of routes

Callers of stream services reach them through routes, an address each with weighted services. Sockets polled by nbio move to a package of their own, for a second listener.

--- a/internal/control/planner/intent.go
+++ b/internal/control/planner/intent.go
@@ -83,6 +83,12 @@
 	CommandConfirm CommandKind = "confirm"
 	// CommandSystem merges facts that the system has observed, such as announcements.
 	CommandSystem CommandKind = "system"
+	// CommandReplace replaces the configuration of routes.
+	CommandReplace CommandKind = "replace"
+	// CommandApply carries out an intent that the operator has confirmed in advance.
+	CommandApply CommandKind = "apply"
+	// CommandRead returns the configuration of routes as of its place in the log. It changes nothing.
+	CommandRead CommandKind = "read"
 )
 
 // Command is one entry of the replicated log.
@@ -99,6 +105,10 @@
 	// Traffic is what was known about customers' flows when a plan was asked for. It is shown, and does not identify the
 	// request.
 	Traffic []Share `json:"traffic,omitempty"`
+	// Replacement is set for CommandReplace.
+	Replacement *Replacement `json:"replacement,omitempty"`
+	// Base is the newest revision that the proposing instance knew, for CommandApply.
+	Base registrar.Revision `json:"base_revision,omitempty"`
 }
 
 // Share is the part of a customer's live flows that an intent touches.
@@ -144,4 +154,7 @@
 	Failure  *Failure           `json:"failure,omitempty"`
 	// Refusals are the observed facts that contradict the configuration; the others have been applied.
 	Refusals []Refusal `json:"refusals,omitempty"`
+	// Version and Document are set for CommandRead; the version is 0 before the first configuration of routes.
+	Version  registrar.ReleaseVersion `json:"version,omitempty"`
+	Document Document                 `json:"document,omitempty"`
 }
--- a/internal/control/planner/ledger.go
+++ b/internal/control/planner/ledger.go
@@ -38,6 +38,9 @@
 	nextPlan PlanID
 	// operatorRevision is the newest revision that an operator's plan made.
 	operatorRevision registrar.Revision
+	documentMu       sync.RWMutex
+	// document is the configuration of routes in force as its operator wrote it.
+	document Document
 }
 
 // NewLedger returns an empty ledger.
@@ -49,9 +52,8 @@
 
 // Apply carries out one log entry and returns its Result as JSON. Equal logs give equal states and results.
 func (l *Ledger) Apply(_ uint64, entry []byte) []byte {
-	var c Command
 	var r Result
-	if err := json.Unmarshal(entry, &c); err != nil {
+	if c, err := decodeCommand(entry); err != nil {
 		r.Failure = invalid("log entry: %v", err)
 	} else {
 		r = l.apply(c)
@@ -65,12 +67,30 @@
 }
 
 func (l *Ledger) apply(c Command) Result {
-	if c.Kind == CommandSystem {
+	switch c.Kind {
+	case CommandSystem:
 		if c.Facts == nil {
 			return Result{Revision: l.World.Revision(), Failure: invalid("system command without facts")}
 		}
 		return l.observe(*c.Facts)
+	case CommandRead:
+		return Result{Revision: l.World.Revision(), Version: l.World.Release().Version, Document: l.documentInForce()}
+	case CommandReplace:
+		return l.recorded(c, l.replace(c.Replacement))
+	case CommandApply:
+		return l.recorded(c, l.applyIntent(c))
 	}
+	return l.applyNumbered(c)
+}
+
+// recorded enters the outcome of a command into the audit log.
+func (l *Ledger) recorded(c Command, r Result) Result {
+	l.record(c, r)
+	return r
+}
+
+// applyNumbered carries out a request that its operator may resend under the same number.
+func (l *Ledger) applyNumbered(c Command) Result {
 	hash := contentHash(c)
 	first, known, f := l.memory.find(c, hash)
 	switch {
@@ -282,6 +302,7 @@
 	Operators        map[registrar.OperatorName]history `json:"operators"`
 	Audit            []AuditEntry                       `json:"audit"`
 	AuditLast        AuditSequence                      `json:"audit_last"`
+	Document         Document                           `json:"document,omitempty"`
 }
 
 // Snapshot returns the whole state as JSON. It is called by the goroutine that calls Apply.
@@ -289,6 +310,7 @@
 	b, err := json.Marshal(snapshot{
 		World: l.World.State(), Plans: l.Plans(), NextPlan: l.nextPlan, OperatorRevision: l.operatorRevision,
 		Operators: l.memory.all(), Audit: l.audit.page(0, maxAudit), AuditLast: l.audit.last,
+		Document: l.documentInForce(),
 	})
 	return b, eris.Wrap(err, "encode snapshot")
 }
@@ -304,6 +326,7 @@
 	}
 	l.memory.restore(st.Operators)
 	l.audit.restore(st.Audit, st.AuditLast)
+	l.setDocument(st.Document)
 	l.planMu.Lock()
 	defer l.planMu.Unlock()
 	l.plans, l.references, l.planBytes = map[PlanID]Plan{}, map[PlanID]int{}, 0
--- a/internal/front/listener/listener.go
+++ b/internal/front/listener/listener.go
@@ -96,6 +96,14 @@
 	// buffer has room for a header in front of the datagram of n bytes, so that sealing does not copy the payload.
 	buffer []byte
 	n      int
+	// receive is that of the socket which is read.
+	receive receiver
+}
+
+// Take handles the datagram of n bytes in the buffer.
+func (sc *scratch) Take(from netip.AddrPort, n int) {
+	sc.n = n
+	sc.receive(from, sc)
 }
 
 func (sc *scratch) datagram() []byte { return sc.buffer[encoder.HeaderSize:][:sc.n] }
@@ -111,7 +119,8 @@
 	l.engine.OnRead(func(c *nbio.Conn) {
 		if s, ok := c.Session().(*socket); ok {
 			sc := l.scratch.Get().(*scratch)
-			s.drain(readBatch, sc)
+			sc.receive = s.receive
+			s.Drain(readBatch, sc.buffer[encoder.HeaderSize:], sc)
 			l.scratch.Put(sc)
 		}
 	})
@@ -190,7 +199,7 @@
 	}
 	// The payload already lies behind the room for the header.
 	sealed := l.Keys.Append(sc.buffer[:0], &sc.header, payload)
-	l.data[int(flow.Caller.Port())%len(l.data)].send(to, sealed)
+	l.data[int(flow.Caller.Port())%len(l.data)].Send(to, sealed)
 	v.forwarded(began)
 }
 
@@ -211,7 +220,7 @@
 		return
 	}
 	if v != nil && len(v.sockets) > 0 {
-		v.sockets[int(flow.Caller.Port())%len(v.sockets)].send(flow.Caller, payload)
+		v.sockets[int(flow.Caller.Port())%len(v.sockets)].Send(flow.Caller, payload)
 		v.forwarded(began)
 	}
 }
--- a/internal/front/listener/reset.go
+++ b/internal/front/listener/reset.go
@@ -40,6 +40,6 @@
 	b[0] = b[0]&0x3f | 0x40
 	copy(b[size-resetToken:], mac.Sum(nil))
 	if v := (*l.services.Load())[flow.Service]; v != nil && len(v.sockets) > 0 {
-		v.sockets[0].send(flow.Caller, b)
+		v.sockets[0].Send(flow.Caller, b)
 	}
 }
--- a/internal/world/registrar/apply.go
+++ b/internal/world/registrar/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
@@ -93,12 +94,19 @@
 		return deleteObject(w, w.machines.machines, c.Machine.Name)
 	case c.Kind == TrimGenerations && c.Trim != nil:
 		return w.trimGenerations(*c.Trim)
+	case c.Kind == PutRoute && c.Route != nil:
+		return w.putRoute(*c.Route)
+	case c.Kind == DeleteRoute && c.Route != nil:
+		return w.deleteRoute(c.Route.Address)
+	case c.Kind == PutRelease && c.Release != nil:
+		return w.putRelease(*c.Release)
 	}
 	return nil, eris.Wrapf(ErrInvalid, "kind %q without its object", c.Kind)
 }
 
-func putObject[K ~string, V any](w *World, m map[K]V, name K, v V) (undo, error) {
-	if name == "" {
+func putObject[K comparable, V any](w *World, m map[K]V, name K, v V) (undo, error) {
+	var none K
+	if name == none {
 		return nil, eris.Wrap(ErrInvalid, "name is empty")
 	}
 	sum := w.sum
@@ -118,10 +126,10 @@
 	}, nil
 }
 
-func deleteObject[K ~string, V any](w *World, m map[K]V, name K) (undo, error) {
+func deleteObject[K comparable, V any](w *World, m map[K]V, name K) (undo, error) {
 	old, ok := m[name]
 	if !ok {
-		return nil, eris.Wrapf(ErrInvalid, "%q does not exist", name)
+		return nil, eris.Wrapf(ErrInvalid, "%q does not exist", fmt.Sprint(name))
 	}
 	sum := w.sum
 	w.sum -= objectHash(old)
@@ -156,19 +164,8 @@
 }
 
 func (w *World) putService(s Service) (undo, error) {
-	if !s.Address.IsValid() || s.Address.Port() == 0 {
-		return nil, eris.Wrapf(ErrInvalid, "service %q: address %q is not an IP address with a port", s.Name, s.Address)
-	}
-	if s.Transport != TransportQUIC && s.Transport != TransportUDP {
-		return nil, eris.Wrapf(ErrInvalid, "service %q: transport %q, allowed are %q and %q",
-			s.Name, s.Transport, TransportQUIC, TransportUDP)
-	}
-	for i := range w.services {
-		for _, other := range w.services[i].services {
-			if other.Name != s.Name && other.Address == s.Address {
-				return nil, eris.Wrapf(ErrInvalid, "service %q: address %s belongs to service %q", s.Name, s.Address, other.Name)
-			}
-		}
+	if err := w.checkTransport(s); err != nil {
+		return nil, err
 	}
 	old, had := w.shard(s.Name).services[s.Name]
 	s.ID, s.Generations = old.ID, old.Generations
@@ -182,6 +179,33 @@
 	return putObject(w, w.shard(s.Name).services, s.Name, s)
 }
 
+// checkTransport checks the transport of a service and its address, which only a service without routes has.
+func (w *World) checkTransport(s Service) error {
+	switch s.Transport {
+	case TransportStream:
+		if s.Address.IsValid() {
+			return eris.Wrapf(ErrInvalid, "service %q: address %s, but callers reach %q services through routes",
+				s.Name, s.Address, TransportStream)
+		}
+		return nil
+	case TransportQUIC, TransportUDP:
+	default:
+		return eris.Wrapf(ErrInvalid, "service %q: transport %q, allowed are %q, %q and %q",
+			s.Name, s.Transport, TransportQUIC, TransportUDP, TransportStream)
+	}
+	if !s.Address.IsValid() || s.Address.Port() == 0 {
+		return eris.Wrapf(ErrInvalid, "service %q: address %q is not an IP address with a port", s.Name, s.Address)
+	}
+	for i := range w.services {
+		for _, other := range w.services[i].services {
+			if other.Name != s.Name && other.Address == s.Address {
+				return eris.Wrapf(ErrInvalid, "service %q: address %s belongs to service %q", s.Name, s.Address, other.Name)
+			}
+		}
+	}
+	return nil
+}
+
 func (w *World) deleteService(name ServiceName) (undo, error) {
 	shard := w.shard(name)
 	for _, u := range shard.upstreams {
@@ -194,9 +218,24 @@
 			return nil, eris.Wrapf(ErrInvalid, "service %q still has contract %q", name, c.Name)
 		}
 	}
+	for _, r := range w.routesLocked() {
+		if r.Allows(name) {
+			return nil, eris.Wrapf(ErrInvalid, "service %q is still a target of route %q", name, r.Name)
+		}
+	}
 	return deleteObject(w, shard.services, name)
 }
 
+// routesLocked returns all routes to a writer, which holds the locks of the shards.
+func (w *World) routesLocked() []Route {
+	var all []Route
+	for i := range w.routes {
+		all = slices.AppendSeq(all, maps.Values(w.routes[i].routes))
+	}
+	slices.SortFunc(all, func(a, b Route) int { return a.Address.Compare(b.Address) })
+	return all
+}
+
 func (w *World) putUpstream(u Upstream) (undo, error) {
 	shard := w.shard(u.Service)
 	if _, ok := shard.services[u.Service]; !ok {
--- a/internal/world/registrar/change.go
+++ b/internal/world/registrar/change.go
@@ -18,9 +18,13 @@
 	PutMachine      ChangeKind = "put_machine"
 	DeleteMachine   ChangeKind = "delete_machine"
 	TrimGenerations ChangeKind = "trim_generations"
+	PutRoute        ChangeKind = "put_route"
+	DeleteRoute     ChangeKind = "delete_route"
+	PutRelease      ChangeKind = "put_release"
 )
 
-// Change puts or deletes one object. Exactly the field that belongs to Kind is set. Deletes use the name of the object.
+// Change puts or deletes one object. Exactly the field that belongs to Kind is set. Deletes use the name of the object, or the address of a
+// route.
 type Change struct {
 	Kind     ChangeKind `json:"kind"`
 	Zone     *Zone      `json:"zone,omitempty"`
@@ -30,6 +34,8 @@
 	Contract *Contract  `json:"contract,omitempty"`
 	Machine  *Machine   `json:"machine,omitempty"`
 	Trim     *Trim      `json:"trim,omitempty"`
+	Route    *Route     `json:"route,omitempty"`
+	Release  *Release   `json:"release,omitempty"`
 }
 
 // Trim drops the generations of a service that are older than Before. The newest generation is always kept.
@@ -44,7 +50,7 @@
 	Changes  []Change `json:"changes"`
 }
 
-// State is a full copy of the configuration. Every list is sorted by name.
+// State is a full copy of the configuration. Every list is sorted by name, routes by address.
 type State struct {
 	Revision       Revision   `json:"revision"`
 	NextServiceID  ServiceID  `json:"next_service_id"`
@@ -55,4 +61,6 @@
 	Customers      []Customer `json:"customers"`
 	Contracts      []Contract `json:"contracts"`
 	Machines       []Machine  `json:"machines"`
+	Routes         []Route    `json:"routes,omitempty"`
+	Release        Release    `json:"release,omitzero"`
 }
--- a/internal/world/registrar/digest.go
+++ b/internal/world/registrar/digest.go
@@ -22,6 +22,10 @@
 		return 5
 	case Machine:
 		return 6
+	case Route:
+		return 7
+	case Release:
+		return 8
 	}
 	return 0
 }
--- a/internal/world/registrar/id.go
+++ b/internal/world/registrar/id.go
@@ -63,6 +63,9 @@
 const (
 	TransportQUIC Transport = "quic"
 	TransportUDP  Transport = "udp"
+	// TransportStream is a reliable byte stream over datagrams. Its flows end at the upstream itself, and machines of the
+	// system pass on the packets unchanged.
+	TransportStream Transport = "stream"
 )
 
 // Flow identifies a flow by the address of its caller and the address of the service.
--- a/internal/world/registrar/object.go
+++ b/internal/world/registrar/object.go
@@ -32,9 +32,11 @@
 	Name ServiceName `json:"name"`
 	// ID is assigned by World when the service is added.
 	ID ServiceID `json:"id,omitempty"`
-	// Address is unique among services.
+	// Address is unique among services. Stream services have none; their routes have addresses.
 	Address   netip.AddrPort `json:"address"`
 	Transport Transport      `json:"transport"`
+	// ColdRate is how many new requests a second an upstream of a stream service bears while it is cold.
+	ColdRate float64 `json:"cold_rate,omitempty"`
 	// Generations are ordered by revision, newest last. World derives them; the field is ignored in changes.
 	Generations []Generation `json:"generations,omitempty"`
 }
--- /dev/null
+++ b/internal/world/registrar/route.go
@@ -0,0 +1,207 @@
+package registrar
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+// RouteName names a route.
+type RouteName string
+
+// RouteKind says what the requests of a route are, and so what may be repeated.
+type RouteKind string
+
+// The kinds of route.
+const (
+	RouteIdempotent    RouteKind = "idempotent"
+	RouteNonIdempotent RouteKind = "non_idempotent"
+	RouteDownload      RouteKind = "download"
+)
+
+// Valid reports whether the kind is one of the constants.
+func (k RouteKind) Valid() bool {
+	return k == RouteIdempotent || k == RouteNonIdempotent || k == RouteDownload
+}
+
+// Millis is a time span in milliseconds.
+type Millis uint32
+
+// Priority orders requests under load; 0 is the most urgent.
+type Priority uint8
+
+// Target is a service that gets a share of the new flows of a route.
+type Target struct {
+	Service ServiceName `json:"service"`
+	// Weight is the share relative to the weights of the other targets.
+	Weight uint32 `json:"weight"`
+}
+
+// Route is an address that callers of stream services use, and where its new flows go.
+type Route struct {
+	Name RouteName `json:"name"`
+	// Address is unique among routes.
+	Address netip.AddrPort `json:"address"`
+	Kind    RouteKind      `json:"kind"`
+	// Timeout bounds a request; at least 1.
+	Timeout       Millis   `json:"timeout_ms"`
+	TargetLatency Millis   `json:"target_latency_ms,omitempty"`
+	Priority      Priority `json:"priority,omitempty"`
+	// Targets have at least one element with a weight above 0, and no service twice.
+	Targets []Target `json:"targets"`
+}
+
+// Equal reports whether two routes are the same.
+func (r Route) Equal(other Route) bool {
+	return r.Name == other.Name && r.Address == other.Address && r.Kind == other.Kind && r.Timeout == other.Timeout &&
+		r.TargetLatency == other.TargetLatency && r.Priority == other.Priority && slices.Equal(r.Targets, other.Targets)
+}
+
+// Allows reports whether new flows of the route may go to a service.
+func (r Route) Allows(service ServiceName) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
+// ReleaseVersion is the operator's own number for a whole configuration of routes. Higher versions replace lower ones.
+type ReleaseVersion uint64
+
+// Release is what an operator's configuration of routes says as a whole.
+type Release struct {
+	Version ReleaseVersion `json:"version"`
+	// IdleTimeout is how long a stream flow may carry nothing before it may be forgotten.
+	IdleTimeout Millis `json:"idle_timeout_ms,omitempty"`
+}
+
+const routeShardCount = 16
+
+// routeShard holds routes by address.
+type routeShard struct {
+	mu     sync.RWMutex
+	routes map[netip.AddrPort]Route
+}
+
+// routeTable holds all routes in shards by address.
+type routeTable [routeShardCount]routeShard
+
+func (t *routeTable) shard(a netip.AddrPort) *routeShard {
+	var key [18]byte
+	ip := a.Addr().As16()
+	copy(key[:], ip[:])
+	key[16], key[17] = byte(a.Port()>>8), byte(a.Port())
+	return &t[xxhash.Sum64(key[:])%routeShardCount]
+}
+
+func (t *routeTable) clear() {
+	for i := range t {
+		t[i].routes = map[netip.AddrPort]Route{}
+	}
+}
+
+func (t *routeTable) lockAll() {
+	for i := range t {
+		t[i].mu.Lock()
+	}
+}
+
+func (t *routeTable) unlockAll() {
+	for i := range t {
+		t[i].mu.Unlock()
+	}
+}
+
+// Route returns the route with an address.
+func (w *World) Route(a netip.AddrPort) (Route, bool) {
+	s := w.routes.shard(a)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	r, ok := s.routes[a]
+	return r, ok
+}
+
+// Routes returns all routes sorted by address.
+func (w *World) Routes() []Route {
+	var all []Route
+	for i := range w.routes {
+		s := &w.routes[i]
+		s.mu.RLock()
+		all = slices.AppendSeq(all, maps.Values(s.routes))
+		s.mu.RUnlock()
+	}
+	slices.SortFunc(all, func(a, b Route) int { return a.Address.Compare(b.Address) })
+	return all
+}
+
+// Release returns what the newest configuration of routes says as a whole. Its version is 0 before the first one.
+func (w *World) Release() Release {
+	w.places.mu.RLock()
+	defer w.places.mu.RUnlock()
+	return w.release
+}
+
+// CheckRoute returns ErrInvalid if a route is not acceptable in itself.
+func CheckRoute(r Route) error {
+	switch {
+	case !r.Address.IsValid() || r.Address.Port() == 0 || r.Address.Addr().IsUnspecified():
+		return eris.Wrapf(ErrInvalid, "route %q: address %q is not an IP address with a port", r.Name, r.Address)
+	case !r.Kind.Valid():
+		return eris.Wrapf(ErrInvalid, "route %q: kind %q, allowed are %q, %q and %q",
+			r.Name, r.Kind, RouteIdempotent, RouteNonIdempotent, RouteDownload)
+	case r.Timeout == 0:
+		return eris.Wrapf(ErrInvalid, "route %q: timeout_ms must be at least 1", r.Name)
+	}
+	return checkTargets(r)
+}
+
+func checkTargets(r Route) error {
+	seen := map[ServiceName]bool{}
+	var sum uint64
+	for _, t := range r.Targets {
+		if seen[t.Service] {
+			return eris.Wrapf(ErrInvalid, "route %q: service %q is named twice", r.Name, t.Service)
+		}
+		seen[t.Service] = true
+		sum += uint64(t.Weight)
+	}
+	if sum == 0 {
+		return eris.Wrapf(ErrInvalid, "route %q: targets need a weight above 0", r.Name)
+	}
+	return nil
+}
+
+func (w *World) putRoute(r Route) (undo, error) {
+	if err := CheckRoute(r); err != nil {
+		return nil, err
+	}
+	for _, t := range r.Targets {
+		if _, ok := w.shard(t.Service).services[t.Service]; !ok {
+			return nil, eris.Wrapf(ErrInvalid, "route %q: service %q does not exist", r.Name, t.Service)
+		}
+	}
+	return putObject(w, w.routes.shard(r.Address).routes, r.Address, r)
+}
+
+func (w *World) deleteRoute(a netip.AddrPort) (undo, error) {
+	return deleteObject(w, w.routes.shard(a).routes, a)
+}
+
+func (w *World) putRelease(r Release) (undo, error) {
+	if r.Version <= w.release.Version {
+		return nil, eris.Wrapf(ErrInvalid, "release version %d, have %d", r.Version, w.release.Version)
+	}
+	old, sum := w.release, w.sum
+	w.sum += releaseHash(r) - releaseHash(old)
+	w.release = r
+	return func() { w.release, w.sum = old, sum }, nil
+}
+
+// releaseHash is 0 without a release, so that configurations without routes keep the digest that older versions compute.
+func releaseHash(r Release) uint64 {
+	if r.Version == 0 {
+		return 0
+	}
+	return objectHash(r)
+}
--- a/internal/world/registrar/world.go
+++ b/internal/world/registrar/world.go
@@ -58,12 +58,15 @@
 	// applyMu orders writers. Readers do not take it.
 	applyMu  sync.Mutex
 	services [serviceShards]serviceShard
+	routes   routeTable
 	places   placeShard
 	machines machineShard
 	// revision is the newest applied revision and never decreases, except through Restore on a new World.
 	revision       atomic.Uint64
 	nextServiceID  ServiceID
 	nextUpstreamID UpstreamID
+	// release is guarded by the lock of places.
+	release Release
 	// sum is the sum of the hashes of all objects, guarded by applyMu.
 	sum uint64
 }
@@ -76,7 +79,8 @@
 }
 
 func (w *World) clear() {
-	w.sum = 0
+	w.sum, w.release = 0, Release{}
+	w.routes.clear()
 	for i := range w.services {
 		s := &w.services[i]
 		s.services = map[ServiceName]Service{}
@@ -321,6 +325,8 @@
 		Customers:      w.Customers(),
 		Contracts:      w.Contracts(),
 		Machines:       w.Machines(),
+		Routes:         w.Routes(),
+		Release:        w.Release(),
 	}
 }
 
@@ -361,11 +367,18 @@
 		w.shard(c.Service).contracts[c.Name] = c
 		w.sum += objectHash(c)
 	}
+	for _, r := range st.Routes {
+		w.routes.shard(r.Address).routes[r.Address] = r
+		w.sum += objectHash(r)
+	}
+	w.sum += releaseHash(st.Release)
+	w.release = st.Release
 	w.revision.Store(uint64(st.Revision))
 	return nil
 }
 
 func (w *World) lockAll() {
+	w.routes.lockAll()
 	for i := range w.services {
 		w.services[i].mu.Lock()
 	}
@@ -379,4 +392,5 @@
 	for i := range w.services {
 		w.services[i].mu.Unlock()
 	}
+	w.routes.unlockAll()
 }
