Let control instances join and leave the log without an operator

In an open group instances know a few seeds instead of all members. A newcomer asks any of them for a place, is passed on to the leader, catches up as a learner and gets a vote. A trusted network needs no certificates: connections are plain and batches name their sender.

--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -49,9 +49,15 @@
 
 // Driver runs a member. The exported fields are set before Open.
 type Driver struct {
-	Name      registrar.MachineName
-	Folder    string
-	Members   map[registrar.MachineName]netip.AddrPort
+	Name    registrar.MachineName
+	Folder  string
+	Members map[registrar.MachineName]netip.AddrPort
+	// OpenMembership lets any instance join that asks for it; Members then are seeds, which need not be all. Address is where this
+	// instance takes calls.
+	OpenMembership bool
+	Address        netip.AddrPort
+	// Joining forbids founding a log, because one exists already.
+	Joining   bool
 	Machine   StateMachine
 	Sender    Sender
 	Forwarder Forwarder
@@ -89,6 +95,7 @@
 		}
 	}
 	d.replica.Self, d.replica.Name, d.replica.Known = d.store.id, d.Name, d.Members
+	d.replica.Open, d.replica.Joining, d.replica.Address = d.OpenMembership, d.Joining, d.Address
 	d.replica.Rand, d.replica.Keep = &source{}, replicator.DefaultKeep
 	d.applier = applier{driver: d, applied: st.Snapshot.Index, saved: st.Snapshot.Index, members: st.Snapshot.Members}
 	d.applier.wake = make(chan struct{}, 1)
@@ -252,12 +259,12 @@
 
 // Admits reports whether a machine is a control instance by the settings or by the log.
 func (d *Driver) Admits(name registrar.MachineName) bool {
-	_, ok := d.Address(name)
+	_, ok := d.AddressOf(name)
 	return ok
 }
 
-// Address returns where a control instance takes calls. Settings go before the log.
-func (d *Driver) Address(name registrar.MachineName) (netip.AddrPort, bool) {
+// AddressOf returns where a control instance takes calls. Settings go before the log.
+func (d *Driver) AddressOf(name registrar.MachineName) (netip.AddrPort, bool) {
 	if a, ok := d.Members[name]; ok {
 		return a, true
 	}
--- a/internal/control/replicator/founding.go
+++ b/internal/control/replicator/founding.go
@@ -52,7 +52,7 @@
 func (r *Replica) seek(now time.Time) {
 	r.joinAt = now.Add(joinInterval)
 	r.broadcast(Join{})
-	if r.founder() != r.Name || !r.blank() && !r.foundedAlone() {
+	if r.Joining || r.founder() != r.Name || !r.blank() && !r.foundedAlone() {
 		return
 	}
 	r.joinAt = now.Add(probeInterval)
@@ -66,6 +66,16 @@
 			r.send(Member{Name: n}, b)
 		}
 	}
+	if !r.Open {
+		return
+	}
+	// The seeds of the settings may be gone since the log was founded.
+	members, _ := r.log.Members()
+	for _, m := range members {
+		if _, known := r.Known[m.Name]; !known && m.Name != r.Name {
+			r.send(Member{Name: m.Name, Address: m.Address}, b)
+		}
+	}
 }
 
 func (r *Replica) founder() registrar.MachineName {
@@ -79,9 +89,7 @@
 func (r *Replica) receiveUnaddressed(now time.Time, m Message) {
 	switch b := m.Body.(type) {
 	case Join:
-		if role, _ := r.elector.Standing(); role == elector.Leader {
-			r.join(m)
-		}
+		r.takeJoin(m, b)
 	case Probe:
 		// Settings that name another founder must not lead to a second log.
 		unwritten := r.unwritten() && r.founder() == m.Sender
--- a/internal/control/replicator/membership.go
+++ b/internal/control/replicator/membership.go
@@ -110,28 +110,33 @@
 	return nil
 }
 
-// join takes in an instance with an empty disk if an operator has added its name.
-func (r *Replica) join(m Message) {
+// join takes in an instance without a place in the log if an operator has added its name, or if anybody may join.
+func (r *Replica) join(m Member) {
 	members, _ := r.log.Members()
 	learner, voter := -1, -1
 	for i, k := range members {
 		switch {
-		case k.ID == m.From:
+		case k.ID == m.ID:
 			return
-		case k.Name == m.Sender && k.Voter:
+		case k.Name == m.Name && k.Voter:
 			voter = i
-		case k.Name == m.Sender:
+		case k.Name == m.Name:
 			learner = i
 		}
 	}
-	if learner < 0 && voter < 0 || r.changeable() != nil {
+	if r.changeable() != nil {
 		return
 	}
 	next := slices.Clone(members)
-	if learner >= 0 {
-		next[learner].ID = m.From
-	} else {
-		next = append(next, Member{ID: m.From, Name: m.Sender, Address: next[voter].Address, Returning: true})
+	switch {
+	case learner >= 0:
+		next[learner].ID = m.ID
+	case voter >= 0:
+		next = append(next, Member{ID: m.ID, Name: m.Name, Address: next[voter].Address, Returning: true})
+	case r.Open && len(next) < maxOpenMembers:
+		next = append(next, Member{ID: m.ID, Name: m.Name, Address: m.Address, Returning: true})
+	default:
+		return
 	}
 	r.setMembers(next)
 }
@@ -149,6 +154,9 @@
 			return
 		}
 	}
+	if r.Open {
+		r.dropGone(now, members)
+	}
 }
 
 // repairOne takes the next step for the returning learner at index i, if one is due.
@@ -162,6 +170,10 @@
 		return false
 	case lost >= 0:
 		next = slices.Delete(next, lost, lost+1)
+	case r.Open && r.replaceable(now, members) == undecided:
+		return false
+	case r.Open && r.replaceable(now, members) >= 0:
+		next = slices.Delete(next, r.replaceable(now, members), r.replaceable(now, members)+1)
 	case len(r.log.Voters()) >= maxVoters:
 		return false
 	default:
--- a/internal/control/replicator/message.go
+++ b/internal/control/replicator/message.go
@@ -64,8 +64,10 @@
 	From, To MemberID
 	// Sender is the name of the sender.
 	Sender registrar.MachineName
-	Term   Term
-	Body   Body
+	// Address is where the sender takes calls; not valid if only the settings and the log say so.
+	Address netip.AddrPort
+	Term    Term
+	Body    Body
 }
 
 // Body is the content of a message: one of the types below.
@@ -120,8 +122,11 @@
 	SentAt   Reading
 }
 
-// Join asks the leader to take in an instance with an empty disk.
-type Join struct{}
+// Join asks the leader to take in an instance that has no place in the log.
+type Join struct {
+	// Relayed is set if another instance passes the request on.
+	Relayed *Member
+}
 
 // Probe asks whether an instance has a log. It is sent by the instance that founds the log.
 type Probe struct {
--- a/internal/control/replicator/network_test.go
+++ b/internal/control/replicator/network_test.go
@@ -46,6 +46,8 @@
 	applied replicator.Index
 	members replicator.Members
 	value   string
+	// joining is true once the group has been founded.
+	joining bool
 	// failure is why the member has ended; nil if it has not.
 	failure error
 }
@@ -81,6 +83,8 @@
 	vouched   int
 	// bounded counts the comparisons of what a member knows with what a leader believes.
 	bounded int
+	// seeds are the instances that all others know; nil if all instances are in the settings and membership is not open.
+	seeds []name
 }
 
 type confirmation struct {
@@ -110,13 +114,33 @@
 	for _, m := range w.members {
 		k[m.name] = netip.AddrPort{}
 	}
+	if w.seeds == nil {
+		return k
+	}
+	clear(k)
+	for _, s := range w.seeds {
+		k[s] = addressOf(s)
+	}
 	return k
 }
 
+// addressOf returns the address of a member of an open group.
+func addressOf(n name) netip.AddrPort {
+	var number int
+	_, err := fmt.Sscanf(string(n), "control-%d", &number)
+	if err != nil {
+		panic(err)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 7)
+}
+
 // boot starts a member from its disk.
 func (w *network) boot(m *member) {
 	m.up, m.frozen, m.failure, m.pending = true, false, nil, replicator.Pending{}
 	m.replica = &replicator.Replica{Self: m.disk.id, Name: m.name, Known: w.known(), Rand: w.rng, Keep: 5}
+	if w.seeds != nil {
+		m.replica.Open, m.replica.Joining, m.replica.Address = true, m.joining, addressOf(m.name)
+	}
 	m.applied, m.members, m.value = m.disk.snapshot.Index, m.disk.snapshot.Members, string(m.disk.snapshot.State)
 	require.NoError(w.t, m.replica.Start(w.now, replicator.State{
 		Ballot: m.disk.ballot, Snapshot: m.disk.snapshot, Entries: slices.Clone(m.disk.entries),
@@ -126,6 +150,7 @@
 // wipe makes a member lose its disk and start again.
 func (w *network) wipe(m *member) {
 	m.disk = disk{id: replicator.MemberID(w.rng.Uint64() | 1)}
+	m.joining = w.seeds != nil
 	w.boot(m)
 }
 
@@ -136,6 +161,9 @@
 		slices.SortStableFunc(due, func(a, b delivery) int { return a.at.Compare(b.at) })
 		for _, q := range due {
 			m := w.find(q.to)
+			if m == nil {
+				continue
+			}
 			if q.at.After(w.now) || m.frozen {
 				w.queue = append(w.queue, q)
 			} else if m.up && !w.cut[[2]name{q.from, q.to}] {
@@ -152,7 +180,11 @@
 }
 
 func (w *network) find(n name) *member {
-	return w.members[slices.IndexFunc(w.members, func(m *member) bool { return m.name == n })]
+	i := slices.IndexFunc(w.members, func(m *member) bool { return m.name == n })
+	if i < 0 {
+		return nil
+	}
+	return w.members[i]
 }
 
 func (w *network) step(m *member, ev replicator.Event) {
@@ -199,7 +231,7 @@
 }
 
 func (w *network) post(m *member, s replicator.Send) {
-	if w.rng.Float64() < w.loss {
+	if w.rng.Float64() < w.loss || w.seeds != nil && s.Address != addressOf(s.Name) {
 		return
 	}
 	q := delivery{from: m.name, to: s.Name, message: s.Message, at: w.now.Add(time.Duration(w.rng.Int64N(int64(30 * time.Millisecond))))}
@@ -339,7 +371,7 @@
 		return false
 	}
 	for _, c := range w.committed {
-		if !c.Voter || w.find(c.Name).disk.id != c.ID {
+		if m := w.find(c.Name); !c.Voter || m == nil || m.disk.id != c.ID {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/control/replicator/opening_test.go
@@ -0,0 +1,170 @@
+package replicator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/peridotstage/peridotstage/internal/control/replicator"
+)
+
+// newOpenNetwork starts instances that know the first three as seeds, and lets anybody join.
+func newOpenNetwork(t require.TestingT, seed uint64, n int) *network {
+	w := newNetwork(t, seed, n)
+	for _, m := range w.members[:min(n, 3)] {
+		w.seeds = append(w.seeds, m.name)
+	}
+	for _, m := range w.members {
+		w.boot(m)
+	}
+	return w
+}
+
+// add starts an instance with an empty disk. Its seeds, and those of later starts, are instances that exist.
+func (w *network) add(number int) *member {
+	w.seeds = nil
+	for _, m := range w.members[:min(len(w.members), 3)] {
+		w.seeds = append(w.seeds, m.name)
+	}
+	m := &member{name: name(fmt.Sprintf("control-%d", number)), joining: true}
+	m.disk.id = replicator.MemberID(w.rng.Uint64() | 1)
+	w.members = append(w.members, m)
+	w.boot(m)
+	return m
+}
+
+// remove takes an instance away for good.
+func (w *network) remove(m *member) {
+	for i, other := range w.members {
+		if other == m {
+			w.members = append(w.members[:i:i], w.members[i+1:]...)
+			return
+		}
+	}
+}
+
+// bearsLoss reports whether every instance has a vote, and the group goes on when any further one is lost. A voter that is
+// gone may stay if the group bears a loss all the same.
+func (w *network) bearsLoss() bool {
+	voting, total := 0, 0
+	for _, c := range w.committed {
+		if !c.Voter {
+			return false
+		}
+		total++
+		if m := w.find(c.Name); m != nil && m.disk.id == c.ID {
+			voting++
+		}
+	}
+	return voting == len(w.members) && voting-1 >= total/2+1
+}
+
+// TestOpenFounding guards against instances beyond the seeds that never get a vote, and against two logs.
+func TestOpenFounding(t *testing.T) {
+	for n := 1; n <= 6; n++ {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := newOpenNetwork(t, uint64(n), n)
+			w.run(4 * time.Second)
+			require.True(t, w.healthy(), "%v", w.committed)
+		})
+	}
+}
+
+// TestOpenReplacement guards against a group that keeps a voter which is gone for good: with it the group would not bear the
+// next loss.
+func TestOpenReplacement(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		members int
+		// before is true if the newcomer starts before the old instance goes.
+		before bool
+		gone   int
+	}{
+		{name: "three, old one goes first", members: 3, gone: 1},
+		{name: "three, new one comes first", members: 3, before: true, gone: 1},
+		{name: "three, leader or founder goes", members: 3, gone: 0},
+		{name: "four, old one goes first", members: 4, gone: 2},
+		{name: "four, new one comes first", members: 4, before: true, gone: 3},
+		{name: "five, old one goes first", members: 5, gone: 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newOpenNetwork(t, 7, tc.members)
+			w.run(4 * time.Second)
+			require.True(t, w.healthy())
+			old := w.members[tc.gone]
+			if tc.before {
+				w.add(20)
+				w.run(2 * time.Second)
+			}
+			w.remove(old)
+			w.run(time.Second)
+			if !tc.before {
+				w.add(20)
+			}
+			w.run(4 * time.Second)
+			require.True(t, w.bearsLoss(), "%v", w.committed)
+			// Whichever instance is lost next, the others go on.
+			w.remove(w.members[0])
+			w.run(2 * time.Second)
+			before := len(w.confirmed)
+			for _, m := range w.members {
+				w.propose(m)
+			}
+			w.run(time.Second)
+			require.Greater(t, len(w.confirmed), before)
+		})
+	}
+}
+
+// TestOpenModel guards the promises of the log in an open group under lost messages, freezes, cuts, lost disks and
+// replacements of instances, one of which may be lost at a time.
+func TestOpenModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 4}).Draw(rt, "members")
+		w := newOpenNetwork(rt, rapid.Uint64().Draw(rt, "seed"), n)
+		w.run(4 * time.Second)
+		require.True(rt, w.healthy())
+		next := 20
+		for range rapid.IntRange(1, 3).Draw(rt, "rounds") {
+			m := w.members[rapid.IntRange(0, len(w.members)-1).Draw(rt, "member")]
+			fault := rapid.IntRange(0, 4).Draw(rt, "fault")
+			switch fault {
+			case 0:
+				m.frozen = true
+			case 1:
+				m.up = false
+			case 2:
+				for _, o := range w.members {
+					w.cut[[2]name{m.name, o.name}], w.cut[[2]name{o.name, m.name}] = true, rapid.Bool().Draw(rt, "both ways")
+				}
+			case 3:
+				w.wipe(m)
+			case 4:
+				w.remove(m)
+				w.run(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "gap ms")) * time.Millisecond)
+				w.add(next)
+				next++
+			}
+			for range 5 {
+				if o := w.members[w.rng.IntN(len(w.members))]; o.up && !o.frozen {
+					w.propose(o)
+				}
+				w.run(time.Duration(rapid.IntRange(10, 1200).Draw(rt, "ms")) * time.Millisecond)
+			}
+			w.cut = map[[2]name]bool{}
+			for _, o := range w.members {
+				o.frozen = false
+				if !o.up {
+					w.boot(o)
+				}
+			}
+			w.run(6 * time.Second)
+			require.True(rt, w.bearsLoss(), "after fault %d: %v", fault, w.committed)
+		}
+		require.True(rt, porcupine.CheckOperations(registerModel, w.operations), "history is not linearizable")
+	})
+}
--- a/internal/control/replicator/receive.go
+++ b/internal/control/replicator/receive.go
@@ -9,6 +9,7 @@
 
 // receive handles a message of another member.
 func (r *Replica) receive(now time.Time, m Message) {
+	r.heard.put(m.Sender, m.Address)
 	if m.To != r.Self {
 		// An instance that lost its disk gets messages for its old identity.
 		if m.To == 0 {
--- a/internal/control/replicator/replica.go
+++ b/internal/control/replicator/replica.go
@@ -52,7 +52,14 @@
 	Name registrar.MachineName
 	// Known has the addresses of the control instances from the settings. They go before addresses in the log.
 	Known map[registrar.MachineName]netip.AddrPort
-	Rand  Rand
+	// Open lets any instance become a member that asks for it, and lets members that are gone leave. Without it operators
+	// change the membership.
+	Open bool
+	// Joining forbids founding a log, because one exists already.
+	Joining bool
+	// Address is where this instance takes calls; used with Open.
+	Address netip.AddrPort
+	Rand    Rand
 	// Keep is how many entries are kept behind a snapshot, so that a peer that was away for a short time needs no snapshot.
 	Keep Index
 
@@ -79,6 +86,8 @@
 	sendAt   time.Time
 	joinAt   time.Time
 	empty    map[registrar.MachineName]probed
+	// heard has the addresses of instances that the settings and the log need not name.
+	heard addressBook
 	// unsafeAt is since when the log cannot be founded again safely; zero if that is not so.
 	unsafeAt time.Time
 	effects  Effects
@@ -310,18 +319,21 @@
 	return Member{}, false
 }
 
-// resolve puts in the address from the settings.
+// resolve puts in the address from the settings, or else the one that the instance has named, if the log has none.
 func (r *Replica) resolve(m Member) Member {
 	if a, ok := r.Known[m.Name]; ok {
 		m.Address = a
 	}
+	if !m.Address.IsValid() {
+		m.Address = r.heard.address(m.Name)
+	}
 	return m
 }
 
 func (r *Replica) send(m Member, b Body) {
 	m = r.resolve(m)
 	r.effects.Sends = append(r.effects.Sends, Send{Name: m.Name, Address: m.Address, Message: Message{
-		From: r.Self, To: m.ID, Sender: r.Name, Term: r.elector.Ballot().Term, Body: b,
+		From: r.Self, To: m.ID, Sender: r.Name, Address: r.Address, Term: r.elector.Ballot().Term, Body: b,
 	}})
 }
 
--- a/internal/front/connector/client.go
+++ b/internal/front/connector/client.go
@@ -22,7 +22,7 @@
 // Client calls one machine and keeps the connection open between calls. The exported fields are set before first use.
 type Client struct {
 	Address netip.AddrPort
-	// TLS returns the configuration for a new connection.
+	// TLS returns the configuration for a new connection; nil on a trusted network, where connections are plain.
 	TLS func() *tls.Config
 	// Traffic counts the bytes of all connections of the client.
 	Traffic Traffic
--- a/internal/front/connector/consensus.go
+++ b/internal/front/connector/consensus.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/wire/encoder"
 	"github.com/peridotstage/peridotstage/internal/wire/messenger"
@@ -21,11 +24,16 @@
 // consensusService translates calls of messenger.Consensus.
 type consensusService struct {
 	handler ConsensusHandler
+	// trusted is true on a network where callers need no certificates.
+	trusted bool
 }
 
 // peer returns the name in the caller's certificate. Other machines of the system may not take part in the log.
 func (s *consensusService) peer(ctx context.Context) (registrar.MachineName, error) {
 	name, ok := peerName(ctx)
+	if s.trusted {
+		return "", nil
+	}
 	if !ok || !s.handler.Admits(name) {
 		return "", ErrPeer
 	}
@@ -41,13 +49,20 @@
 	if err := encoder.CheckProtocol(b.GetProtocol()); err != nil {
 		return nil, err
 	}
+	var address netip.AddrPort
+	if s.trusted {
+		name = registrar.MachineName(b.GetSender())
+		if address, err = netip.ParseAddrPort(b.GetSenderAddress()); err != nil {
+			return nil, eris.Wrapf(ErrPeer, "sender %q has address %q", name, b.GetSenderAddress())
+		}
+	}
 	messages := make([]replicator.Message, 0, len(b.GetMessages()))
 	for _, m := range b.GetMessages() {
 		msg, err := encoder.ConsensusFromMessage(m)
 		if err != nil {
 			return nil, err
 		}
-		msg.Sender = name
+		msg.Sender, msg.Address = name, address
 		messages = append(messages, msg)
 	}
 	s.handler.Deliver(messages)
--- a/internal/front/connector/peers.go
+++ b/internal/front/connector/peers.go
@@ -31,13 +31,16 @@
 
 // AddressBook knows the addresses of control instances.
 type AddressBook interface {
-	Address(name registrar.MachineName) (netip.AddrPort, bool)
+	AddressOf(name registrar.MachineName) (netip.AddrPort, bool)
 }
 
 // Peers sends messages to other control instances. Each has a queue, a connection and a goroutine of its own, so that a
 // silent one does not delay the others. The exported fields are set before Run.
 type Peers struct {
+	// TLS is nil on a trusted network. Sender and Address then say who sends.
 	TLS      func() *tls.Config
+	Sender   registrar.MachineName
+	Address  netip.AddrPort
 	Recorder *recorder.Recorder
 	// Addresses knows where control instances take calls.
 	Addresses AddressBook
@@ -169,7 +172,7 @@
 				c.Close()
 				c.Address = address
 			}
-			err := c.deliver(ctx, messages)
+			err := p.deliver(ctx, c, messages)
 			if ctx.Err() != nil {
 				return
 			}
@@ -206,10 +209,13 @@
 	}
 }
 
-func (c *Client) deliver(ctx context.Context, messages []replicator.Message) error {
+func (p *Peers) deliver(ctx context.Context, c *Client, messages []replicator.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
 	batch := &messenger.ConsensusBatch{Protocol: encoder.Protocol}
+	if p.TLS == nil {
+		batch.Sender, batch.SenderAddress = string(p.Sender), p.Address.String()
+	}
 	for _, m := range messages {
 		out, err := encoder.ConsensusToMessage(m)
 		if err != nil {
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -26,7 +26,7 @@
 // Server takes calls of other machines. The exported fields are set before Run.
 type Server struct {
 	Address netip.AddrPort
-	// TLS returns the configuration for a new connection.
+	// TLS returns the configuration for a new connection; nil on a trusted network, where connections are plain.
 	TLS func() *tls.Config
 	// Heartbeats answers the heartbeats of nodes; nil on machines that do not.
 	Heartbeats HeartbeatHandler
@@ -54,7 +54,7 @@
 		}
 	}
 	if s.Consensus != nil {
-		if err := messenger.DRPCRegisterConsensus(mux, &consensusService{s.Consensus}); err != nil {
+		if err := messenger.DRPCRegisterConsensus(mux, &consensusService{s.Consensus, s.TLS == nil}); err != nil {
 			return eris.Wrap(err, "register consensus service")
 		}
 	}
@@ -63,20 +63,27 @@
 			return eris.Wrap(err, "register claims service")
 		}
 	}
-	cfg := &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-		next := s.TLS()
-		next.VerifyConnection = verifyMachine
-		return next, nil
-	}}
 	raw, err := net.Listen("tcp", s.Address.String())
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Address)
 	}
-	ln := tls.NewListener(&watchedListener{Listener: raw}, cfg)
+	ln := net.Listener(&watchedListener{Listener: raw})
+	if s.TLS != nil {
+		ln = tls.NewListener(ln, s.secureConfig())
+	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	return serve(ctx, server, ln)
 }
 
+// secureConfig returns the configuration that asks for the present one at each connection.
+func (s *Server) secureConfig() *tls.Config {
+	return &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		next := s.TLS()
+		next.VerifyConnection = verifyMachine
+		return next, nil
+	}}
+}
+
 // serve takes connections until ctx ends. Unlike drpcserver's own loop it hands the connection to the handlers, which have to
 // know the peer's certificate.
 func serve(ctx context.Context, server *drpcserver.Server, ln net.Listener) error {
--- a/internal/front/connector/sessions.go
+++ b/internal/front/connector/sessions.go
@@ -129,7 +129,7 @@
 // Directory knows the other control instances.
 type Directory interface {
 	Others() []registrar.MachineName
-	Address(name registrar.MachineName) (netip.AddrPort, bool)
+	AddressOf(name registrar.MachineName) (netip.AddrPort, bool)
 	// Knowledge bounds what the other instances know; nil unless this instance is the leader.
 	Knowledge(now time.Time) []replicator.Knowledge
 }
@@ -146,7 +146,7 @@
 
 // client returns the connection to an instance, or nil if its address is not known.
 func (c *Collector) client(name registrar.MachineName) *Client {
-	address, ok := c.Directory.Address(name)
+	address, ok := c.Directory.AddressOf(name)
 	if !ok {
 		return nil
 	}
--- a/internal/front/connector/traffic.go
+++ b/internal/front/connector/traffic.go
@@ -45,15 +45,19 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg := c.TLS().Clone()
-	if cfg.ServerName == "" {
-		cfg.ServerName = c.Address.Addr().String()
-	}
 	total := c.Total
 	if total == nil {
 		total = &Traffic{}
 	}
-	conn := tls.Client(&countedConn{Conn: &watchedConn{Conn: raw, limit: clientSilence}, traffic: &c.Traffic, total: total}, cfg)
+	counted := &countedConn{Conn: &watchedConn{Conn: raw, limit: clientSilence}, traffic: &c.Traffic, total: total}
+	if c.TLS == nil {
+		return counted, nil
+	}
+	cfg := c.TLS().Clone()
+	if cfg.ServerName == "" {
+		cfg.ServerName = c.Address.Addr().String()
+	}
+	conn := tls.Client(counted, cfg)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, err
--- a/internal/wire/encoder/consensus.go
+++ b/internal/wire/encoder/consensus.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -10,6 +11,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/elector"
 	"github.com/peridotstage/peridotstage/internal/control/replicator"
 	"github.com/peridotstage/peridotstage/internal/wire/messenger"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // ErrMessage means that a message has no known content.
@@ -45,7 +47,7 @@
 			Position: position(b.Position), Received: uint64(b.Received), SentAt: reading(b.SentAt),
 		}}
 	case replicator.Join:
-		out.Body = &messenger.ConsensusMessage_Join{Join: &messenger.JoinRequest{}}
+		out.Body = &messenger.ConsensusMessage_Join{Join: joinToMessage(b)}
 	case replicator.Probe:
 		out.Body = &messenger.ConsensusMessage_Probe{Probe: &messenger.ProbeRequest{Unsafe: b.Unsafe}}
 	case replicator.ProbeAnswer:
@@ -89,7 +91,7 @@
 			SentAt: readingFrom(b.ChunkAnswer.GetSentAt()),
 		}
 	case *messenger.ConsensusMessage_Join:
-		out.Body = replicator.Join{}
+		out.Body, err = joinFromMessage(b.Join)
 	case *messenger.ConsensusMessage_Probe:
 		out.Body = replicator.Probe{Unsafe: b.Probe.GetUnsafe()}
 	case *messenger.ConsensusMessage_ProbeAnswer:
@@ -100,6 +102,28 @@
 	return out, err
 }
 
+func joinToMessage(j replicator.Join) *messenger.JoinRequest {
+	if j.Relayed == nil {
+		return &messenger.JoinRequest{}
+	}
+	return &messenger.JoinRequest{
+		Name: string(j.Relayed.Name), Member: uint64(j.Relayed.ID), Address: j.Relayed.Address.String(),
+	}
+}
+
+func joinFromMessage(j *messenger.JoinRequest) (replicator.Join, error) {
+	if j.GetMember() == 0 {
+		return replicator.Join{}, nil
+	}
+	address, err := netip.ParseAddrPort(j.GetAddress())
+	if err != nil {
+		return replicator.Join{}, eris.Wrapf(ErrMessage, "address %q of a newcomer", j.GetAddress())
+	}
+	return replicator.Join{Relayed: &replicator.Member{
+		ID: replicator.MemberID(j.GetMember()), Name: registrar.MachineName(j.GetName()), Address: address,
+	}}, nil
+}
+
 func appendToMessage(a replicator.Append) (*messenger.LogAppend, error) {
 	out := &messenger.LogAppend{
 		Prev: position(a.Prev), Commit: uint64(a.Commit), SentAt: reading(a.SentAt), Echo: reading(a.Echo),
