--- a/internal/cli/commander/check_settings.go
+++ b/internal/cli/commander/check_settings.go
@@ -7,20 +7,25 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
-	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 func addCheckSettings(a *app) {
 	cmd := a.Command("check-settings", "Check a settings file; without a file, list the settings of a role.")
-	role := cmd.Arg("role", "Role that the file is for: entry, agent or control.").Required().
-		Enum(string(registrar.RoleEntry), string(registrar.RoleAgent), string(registrar.RoleControl))
+	role := cmd.Arg("role", "Role that the file is for: entry, agent, control, stream-entry, stream-agent or open-control.").Required().
+		Enum("entry", "agent", "control", "stream-entry", "stream-agent", "open-control")
 	file := cmd.Arg("file", "Settings file.").String()
 	cmd.Action(func(*kingpin.ParseContext) error {
-		switch registrar.Role(*role) {
-		case registrar.RoleEntry:
+		switch *role {
+		case "entry":
 			return checkSettings[parser.Entry](a.out, *file)
-		case registrar.RoleAgent:
+		case "agent":
 			return checkSettings[parser.Agent](a.out, *file)
+		case "stream-entry":
+			return checkSettings[parser.StreamEntry](a.out, *file)
+		case "stream-agent":
+			return checkSettings[parser.StreamAgent](a.out, *file)
+		case "open-control":
+			return checkSettings[parser.OpenControl](a.out, *file)
 		default:
 			return checkSettings[parser.Control](a.out, *file)
 		}
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/peridotstage/peridotstage/internal/cli/runner"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 )
 
@@ -66,6 +67,8 @@
 	*kingpin.Application
 	out, errOut io.Writer
 	api         *apiFlags
+	// platform is nil without the roles of a platform.
+	platform runner.Platform
 	// acting is true once the arguments have been accepted.
 	acting bool
 }
@@ -73,11 +76,11 @@
 // exitPanic ends parsing when kingpin asks for the program to end, for example after --help.
 type exitPanic int
 
-// Main runs the command with the given arguments and returns its exit code.
-func Main(args []string, out, errOut io.Writer) (code int) {
+// Main runs the command with the given arguments and returns its exit code. Without a platform its roles are left out.
+func Main(args []string, out, errOut io.Writer, platform runner.Platform) (code int) {
 	a := &app{
 		Application: kingpin.New("peridotstage", "A layer-4 load balancer that shows where each customer's traffic goes."),
-		out:         out, errOut: errOut,
+		out:         out, errOut: errOut, platform: platform,
 	}
 	a.HelpFlag.Short('h')
 	a.UsageTemplate(usageTemplate)
@@ -143,10 +146,8 @@
 
 // run runs a role until SIGTERM or SIGINT.
 func (a *app) run(f func(ctx context.Context, rec *recorder.Recorder) error) error {
-	rec, err := recorder.New()
-	if err != nil {
-		return err
-	}
+	rec := recorder.New(a.out)
+	defer rec.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := f(ctx, rec); err != nil {
--- a/internal/cli/commander/commander_test.go
+++ b/internal/cli/commander/commander_test.go
@@ -31,7 +31,7 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"peridotstage": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"peridotstage": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr, nil)) },
 	})
 }
 
--- a/internal/cli/commander/operating_test.go
+++ b/internal/cli/commander/operating_test.go
@@ -62,12 +62,12 @@
 		require.Eventually(t, func() bool { return g.voters(t) == g.deployment.Controls }, deployer.WaitTime, deployer.PollTime)
 	case words[0] == "peridotstage":
 		var out, errOut bytes.Buffer
-		code := commander.Main(strings.Fields(strings.ReplaceAll(command, "PLAN", g.plan))[1:], &out, &errOut)
+		code := commander.Main(strings.Fields(strings.ReplaceAll(command, "PLAN", g.plan))[1:], &out, &errOut, nil)
 		// The page says to ask for the proof until it is there.
 		for end := time.Now().Add(deployer.WaitTime); code == commander.ExitNotProved && time.Now().Before(end); {
 			time.Sleep(deployer.PollTime)
 			out.Reset()
-			code = commander.Main(words[1:], &out, &errOut)
+			code = commander.Main(words[1:], &out, &errOut, nil)
 		}
 		require.Equal(t, commander.ExitOK, code, "%s: %s", command, errOut.String())
 		g.remember(out.String())
@@ -91,7 +91,7 @@
 // voters returns the number of members that vote.
 func (g *guide) voters(t *testing.T) int {
 	var out, errOut bytes.Buffer
-	require.Equal(t, commander.ExitOK, commander.Main([]string{"member", "list"}, &out, &errOut), errOut.String())
+	require.Equal(t, commander.ExitOK, commander.Main([]string{"member", "list"}, &out, &errOut, nil), errOut.String())
 	return len(regexp.MustCompile(`(?m)^control-\d +\S+ +yes `).FindAllString(out.String(), -1))
 }
 
--- a/internal/cli/commander/roles.go
+++ b/internal/cli/commander/roles.go
@@ -14,6 +14,12 @@
 	addRole(a, "entry", "Run an entry: take callers' datagrams and forward them to agents.", runner.Entry)
 	addRole(a, "agent", "Run an agent beside one upstream.", runner.Agent)
 	addRole(a, "control", "Run a control instance.", runner.Control)
+	if a.platform == nil {
+		return
+	}
+	addRole(a, "stream-entry", "Run an entry of stream services on the platform.", runner.StreamEntry(a.platform))
+	addRole(a, "stream-agent", "Run an agent beside one upstream of a stream service on the platform.", runner.StreamAgent(a.platform))
+	addRole(a, "open-control", "Run a control instance of an open group on the platform.", runner.OpenControl(a.platform))
 }
 
 func addRole[T any](a *app, name, help string, run func(context.Context, runner.Source[T], *recorder.Recorder) error) {
--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -67,7 +67,7 @@
 	a.responder.Recorder = rec
 	defer a.pool.Close()
 	defer a.claims.Close()
-	e, err := newExporter(cfg.Machine, func(now time.Time) error {
+	e, err := newExporter(cfg.Host, func(now time.Time) error {
 		if _, ok := a.tracker.Self(); !ok {
 			return errUnknownUpstream
 		}
--- a/internal/cli/runner/burn_test.go
+++ b/internal/cli/runner/burn_test.go
@@ -27,7 +27,7 @@
 	code := commander.Main(append([]string{
 		"--api", d.APIAddr(0).String(), "--authority", d.KeyFile(issuer.AuthorityFile),
 		"--certificate", d.KeyFile("operator.pem"), "--key", d.KeyFile("operator.key"),
-	}, args...), &out, &errOut)
+	}, args...), &out, &errOut, nil)
 	return code, out.String(), errOut.String()
 }
 
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"crypto/tls"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +15,7 @@
 	"github.com/peridotstage/peridotstage/internal/front/administrator"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/report/burner"
+	"github.com/peridotstage/peridotstage/internal/report/exporter"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/secret/loader"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
@@ -31,6 +32,69 @@
 	f.recorder.Error(recorder.DigestDiffers, zap.String("machine", string(machine)), zap.Uint64("revision", uint64(at)))
 }
 
+// controlCore holds the parts that control instances of all networks share.
+type controlCore struct {
+	ledger        *planner.Ledger
+	updates       *publisher.Publisher
+	peers         *connector.Peers
+	log           *driver.Driver
+	sessions      *leaser.Leaser
+	collector     *connector.Collector
+	announcements *announcer
+	recorder      *recorder.Recorder
+	host          parser.Host
+}
+
+// newControlCore wires the parts. clientTLS is nil on a trusted network. The log is not open yet.
+func newControlCore(host parser.Host, log *driver.Driver, clientTLS func() *tls.Config, rec *recorder.Recorder) *controlCore {
+	c := &controlCore{updates: &publisher.Publisher{}, sessions: &leaser.Leaser{}, log: log, recorder: rec, host: host}
+	c.ledger = planner.NewLedger(c.updates)
+	c.peers = &connector.Peers{TLS: clientTLS, Recorder: rec, Sender: log.Name, Address: host.ControlAddress, Addresses: log}
+	log.Machine, log.Sender, log.Forwarder, log.Recorder = c.ledger, c.peers, c.peers, rec
+	c.collector = &connector.Collector{
+		Name: log.Name, StartedAt: time.Now(), Leaser: c.sessions, Directory: log, TLS: clientTLS, Traffic: &c.peers.Traffic,
+	}
+	c.announcements = newAnnouncer(log, rec)
+	return c
+}
+
+// exporter returns the exporter with the metrics that all control instances have.
+func (c *controlCore) exporter(ctx context.Context) (*exporter.Exporter, error) {
+	e, err := newExporter(c.host, func(now time.Time) error {
+		if ctx.Err() != nil {
+			return errStopping
+		}
+		if _, ok := c.log.Vouch(now); !ok {
+			return errNoLeader
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return e, exportControl(e, c.ledger.World, c.sessions, &c.peers.Traffic)
+}
+
+func (c *controlCore) granter() *granter.Granter {
+	return &granter.Granter{
+		World: c.ledger.World, Publisher: c.updates, Leaser: c.sessions, Authority: c.log,
+		Announcer: c.announcements, Reporter: faultReporter{c.recorder},
+	}
+}
+
+func (c *controlCore) upkeep() *upkeep {
+	return &upkeep{World: c.ledger.World, Log: c.log, Collector: c.collector, Authority: c.log, Recorder: c.recorder}
+}
+
+// run starts what all control instances do.
+func (c *controlCore) run(g *group, server *connector.Server) {
+	g.run(c.log.Run)
+	g.run(c.peers.Run)
+	server.Address, server.Consensus, server.Collector = c.host.ControlAddress, c.log, c.collector
+	g.run(server.Run)
+	g.run(c.announcements.run)
+}
+
 // Control runs a control instance until ctx ends.
 func Control(ctx context.Context, source Source[parser.Control], rec *recorder.Recorder) error {
 	cfg := source.Settings
@@ -39,56 +103,28 @@
 		return err
 	}
 	reload := newReload(source, rec, keys)
-	updates := &publisher.Publisher{}
-	ledger := planner.NewLedger(updates)
-	peers := &connector.Peers{TLS: keys.Client, Recorder: rec}
-	log := &driver.Driver{
-		Name: cfg.Name, Folder: cfg.DataFolder, Members: cfg.Members, Machine: ledger, Sender: peers, Forwarder: peers,
-		Recorder: rec,
-	}
-	peers.Addresses = log
-	if err := log.Open(); err != nil {
+	c := newControlCore(cfg.Host, &driver.Driver{Name: cfg.Name, Folder: cfg.DataFolder, Members: cfg.Members}, keys.Client, rec)
+	if err := c.log.Open(); err != nil {
 		return err
 	}
-	sessions := &leaser.Leaser{}
-	collector := &connector.Collector{Name: cfg.Name, StartedAt: time.Now(), Leaser: sessions, Directory: log, TLS: keys.Client, Traffic: &peers.Traffic}
-	announcements := newAnnouncer(log, rec)
-	e, err := newExporter(cfg.Machine, func(now time.Time) error {
-		if ctx.Err() != nil {
-			return errStopping
-		}
-		if _, ok := log.Vouch(now); !ok {
-			return errNoLeader
-		}
-		return nil
-	})
+	e, err := c.exporter(ctx)
 	if err != nil {
 		return err
 	}
 	store := openBurnStore(cfg, rec)
 	burns := store.collector
 	reload.setters = controlSetters(burns)
-	report := burnReport(burns, ledger.World)
-	if err := errors.Join(exportControl(e, ledger.World, sessions, &peers.Traffic), exportBurn(e, report)); err != nil {
+	report := burnReport(burns, c.ledger.World)
+	if err := exportBurn(e, report); err != nil {
 		return err
 	}
 	g := newGroup(ctx)
-	g.run(log.Run)
-	g.run(peers.Run)
-	g.run((&connector.Server{
-		Address: cfg.ControlAddress, TLS: keys.Server, Consensus: log,
-		Heartbeats: &burnCollector{store: store, next: &granter.Granter{
-			World: ledger.World, Publisher: updates, Leaser: sessions, Authority: log,
-			Announcer: announcements, Reporter: faultReporter{rec},
-		}},
-		Collector: collector,
-	}).Run)
+	c.run(g, &connector.Server{TLS: keys.Server, Heartbeats: &burnCollector{store: store, next: c.granter()}})
 	g.run((&administrator.Administrator{
-		Address: cfg.APIAddress, TLS: keys.Server, Log: log, Ledger: ledger, Collector: collector, Authority: log,
-		Membership: log, Recorder: rec, Burn: report,
+		Address: cfg.APIAddress, TLS: keys.Server, Log: c.log, Ledger: c.ledger, Collector: c.collector, Authority: c.log,
+		Membership: c.log, Recorder: rec, Burn: report,
 	}).Run)
-	g.run(announcements.run)
-	g.run((&upkeep{World: ledger.World, Log: log, Collector: collector, Authority: log, Recorder: rec}).run)
+	g.run(c.upkeep().run)
 	g.run(store.run)
 	g.run(reload.run)
 	g.run(e.Run)
--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -43,7 +43,7 @@
 	n.subscriber.Enforcers = []subscriber.Enforcer{f, l, counts, n}
 	n.meter(meter)
 	n.describe = func(*leaser.Heartbeat) {}
-	e, err := newExporter(cfg.Machine, func(now time.Time) error {
+	e, err := newExporter(cfg.Host, func(now time.Time) error {
 		return errors.Join(n.ready(now, f.Revision()), l.Problem())
 	})
 	if err != nil {
--- a/internal/cli/runner/metrics.go
+++ b/internal/cli/runner/metrics.go
@@ -42,7 +42,7 @@
 }
 
 // newExporter returns an exporter that serves at the machine's metrics address.
-func newExporter(cfg parser.Machine, ready func(now time.Time) error) (*exporter.Exporter, error) {
+func newExporter(cfg parser.Host, ready func(now time.Time) error) (*exporter.Exporter, error) {
 	e, err := exporter.New()
 	if err != nil {
 		return nil, err
@@ -71,7 +71,7 @@
 	}
 	controlBytes := func(emit exporter.Emit) {
 		var sent, received uint64
-		for _, c := range n.clients {
+		for _, c := range n.clients.list() {
 			sent += c.Traffic.Sent()
 			received += c.Traffic.Received()
 		}
--- a/internal/cli/runner/node.go
+++ b/internal/cli/runner/node.go
@@ -40,7 +40,7 @@
 	machine    registrar.Machine
 	subscriber *subscriber.Subscriber
 	recorder   *recorder.Recorder
-	clients    []*connector.Client
+	clients    controlClients
 	// describe completes a heartbeat.
 	describe func(h *leaser.Heartbeat)
 	// batch returns new request counts for a heartbeat, or nil.
@@ -77,9 +77,8 @@
 		subscriber: &subscriber.Subscriber{World: registrar.NewWorld()},
 		serves:     cfg.LeaseExpired == parser.LeaseExpiredServe,
 	}
-	for _, a := range preferred(cfg.Name, cfg.Control) {
-		n.clients = append(n.clients, &connector.Client{Address: a, TLS: keys.Client})
-	}
+	n.clients.keys = keys
+	n.clients.set(preferred(cfg.Name, cfg.Control))
 	return n, nil
 }
 
@@ -146,7 +145,6 @@
 
 // run sends heartbeats until ctx ends.
 func (n *node) run(ctx context.Context) error {
-	at := 0
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -157,9 +155,10 @@
 		case <-n.wake:
 		}
 		wait := heartbeatInterval
-		if err := n.heartbeat(ctx, n.clients[at]); err != nil && ctx.Err() == nil {
-			n.recorder.Warn(recorder.HeartbeatFailed, zap.Stringer("control", n.clients[at].Address), recorder.Err(err))
-			at = (at + 1) % len(n.clients)
+		c := n.clients.current()
+		if err := n.heartbeat(ctx, c); err != nil && ctx.Err() == nil {
+			n.recorder.Warn(recorder.HeartbeatFailed, zap.Stringer("control", c.Address), recorder.Err(err))
+			n.clients.next()
 			n.reporter.Restart()
 			wait = retryInterval
 			n.missed.Add(1)
@@ -172,7 +171,7 @@
 
 // lastHeartbeat reports the end of the machine to the first control instance that answers.
 func (n *node) lastHeartbeat(ctx context.Context) {
-	for _, c := range n.clients {
+	for _, c := range n.clients.list() {
 		if n.heartbeat(ctx, c) == nil {
 			return
 		}
--- /dev/null
+++ b/internal/cli/runner/platform.go
@@ -0,0 +1,86 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/admit/admitter"
+	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/front/streamer"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// CheckIns takes what upstreams report about themselves.
+type CheckIns interface {
+	CheckIn(now time.Time, c admitter.CheckIn) error
+	Leave(name string)
+}
+
+// Orders takes the orders of operators.
+type Orders interface {
+	Replace(ctx context.Context, r planner.Replacement) error
+	Read(ctx context.Context) ([]byte, error)
+	SwitchZone(ctx context.Context, zone registrar.ZoneName, withdraw bool) error
+}
+
+// Platform translates between the formats of a platform and the types of the product. It decides nothing.
+type Platform interface {
+	// Codec translates the packets of stream flows.
+	Codec() streamer.Codec
+	// CheckIns returns the calls of upstreams.
+	CheckIns(c CheckIns) http.Handler
+	// Operators returns the calls of operators.
+	Operators(o Orders) http.Handler
+}
+
+const (
+	// httpHeaderTime and httpReadTime bound how long a caller may take to send.
+	httpHeaderTime = 2 * time.Second
+	httpReadTime   = 5 * time.Second
+	httpIdleTime   = 30 * time.Second
+	// httpStopTime bounds the wait for calls in progress at a planned stop.
+	httpStopTime = time.Second
+)
+
+// serveHTTP serves a handler at an address until ctx ends.
+func serveHTTP(ctx context.Context, address netip.AddrPort, h http.Handler) error {
+	ln, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: httpHeaderTime, ReadTimeout: httpReadTime, IdleTimeout: httpIdleTime}
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpStopTime)
+		defer cancel()
+		if server.Shutdown(finish) != nil {
+			_ = server.Close()
+		}
+	})
+	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		stop()
+		return eris.Wrapf(err, "serve %s", address)
+	}
+	<-stopped
+	return nil
+}
+
+// readyHandler serves /ready. ready returns why the machine takes no traffic, or nil.
+func readyHandler(ready func(now time.Time) error) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(time.Now()); err != nil {
+			http.Error(w, "not ready: "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/cli/runner/stream.go
@@ -0,0 +1,64 @@
+package runner
+
+import (
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/peridotstage/peridotstage/internal/report/burner"
+	"github.com/peridotstage/peridotstage/internal/report/exporter"
+	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/setting/parser"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// newStreamNode returns the node of an entry or agent of stream services, on a trusted network.
+func newStreamNode(cfg parser.StreamNode, role registrar.Role, rec *recorder.Recorder) (*node, error) {
+	rec.Warn(recorder.TrustedNetwork)
+	n, err := newNode(parser.Node{
+		Machine: parser.Machine{Host: cfg.Host}, DataAddress: cfg.DataAddress, Control: cfg.Control(), LeaseExpired: cfg.LeaseExpired,
+	}, role, nil, rec)
+	if err != nil {
+		return nil, err
+	}
+	// Stream flows have no customers, whose requests a burn report would count.
+	n.batch = func(time.Time, netip.AddrPort) *burner.Batch { return nil }
+	return n, nil
+}
+
+// dropCounter counts dropped packets by reason, under its own lock. The zero value is ready for use.
+type dropCounter struct {
+	mu    sync.Mutex
+	drops map[string]int64
+}
+
+// Dropped counts a packet.
+func (d *dropCounter) Dropped(reason string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.drops == nil {
+		d.drops = map[string]int64{}
+	}
+	d.drops[reason]++
+}
+
+func (d *dropCounter) emit(emit exporter.Emit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for reason, n := range d.drops {
+		emit(n, attribute.String("reason", reason))
+	}
+}
+
+// exportStream adds the metrics of stream flows.
+func exportStream(e *exporter.Exporter, d *dropCounter, flows func() int, rec *recorder.Recorder) error {
+	return errors.Join(
+		e.Counter("stream_packets_dropped", "Packets of stream flows that were not passed on, by reason.", d.emit),
+		e.Gauge("stream_flows", "Stream flows that the machine knows.", func(emit exporter.Emit) { emit(int64(flows())) }),
+		e.Counter("log_lines_lost", "Log lines that were lost because nobody read them in time.",
+			func(emit exporter.Emit) { emit(int64(rec.Lost())) }),
+	)
+}
--- /dev/null
+++ b/internal/cli/runner/stream_agent.go
@@ -0,0 +1,116 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotstage/peridotstage/internal/admit/admitter"
+	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
+	"github.com/peridotstage/peridotstage/internal/front/streamer"
+	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/setting/parser"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// StreamAgent returns the role of an agent beside an upstream of a stream service on a platform.
+func StreamAgent(p Platform) func(context.Context, Source[parser.StreamAgent], *recorder.Recorder) error {
+	return func(ctx context.Context, source Source[parser.StreamAgent], rec *recorder.Recorder) error {
+		return runStreamAgent(ctx, source, p, rec)
+	}
+}
+
+func runStreamAgent(ctx context.Context, source Source[parser.StreamAgent], p Platform, rec *recorder.Recorder) error {
+	cfg := source.Settings
+	reload := newReload(source, rec)
+	n, err := newStreamNode(cfg.StreamNode, registrar.RoleAgent, rec)
+	if err != nil {
+		return err
+	}
+	drops := &dropCounter{}
+	a := &admitter.Admitter{
+		Service: cfg.Service, Zone: cfg.Zone, Address: cfg.UpstreamAddress, ColdFactor: cfg.ColdFactor, ColdSlack: cfg.ColdSlack,
+		MaxFlowAge: time.Duration(cfg.MaxFlowAge), StartedAt: time.Now(),
+	}
+	front := streamer.NewAgent()
+	front.Admitter, front.Codec, front.Recorder, front.Observer = a, p.Codec(), rec, drops
+	front.DataAddress, front.OutboundAddress, front.UpstreamAddress = cfg.DataAddress, cfg.OutboundAddress, cfg.UpstreamAddress
+	front.CallerPort = cfg.CallerAddress.Port()
+	n.subscriber.Enforcers = []subscriber.Enforcer{a, n}
+	n.describe = func(h *leaser.Heartbeat) { h.Announcement = announcement(cfg, a) }
+	checkIns := &checkIns{admitter: a, recorder: rec, changed: func() {
+		front.Notify()
+		n.heartbeatNow()
+	}}
+	// The agent is beside its upstream whether or not control answers, so it is always ready until it stops.
+	ready := func(time.Time) error {
+		if n.stopping.Load() {
+			return errStopping
+		}
+		return nil
+	}
+	e, err := newExporter(cfg.Host, ready)
+	if err != nil {
+		return err
+	}
+	took, err := e.Latency("upstream_seconds", "Time of requests at the upstream.")
+	if err != nil {
+		return err
+	}
+	front.Latency = took
+	if err := errors.Join(n.export(e, n.counts), exportStream(e, drops, a.Flows, rec)); err != nil {
+		return err
+	}
+	linger := &span{}
+	linger.set(cfg.Linger)
+	reload.setters = setters[parser.StreamAgent]{"linger": func(cfg parser.StreamAgent) { linger.set(cfg.Linger) }}
+	stop := func() {
+		a.Stop()
+		front.Notify()
+	}
+	return lingering(ctx, n, rec, linger, stop, func() bool { return a.Flows() == 0 },
+		front.Run, reload.run, e.Run, serving(cfg.ReadyAddress, readyHandler(ready)),
+		serving(cfg.CheckInAddress, p.CheckIns(checkIns)))
+}
+
+// announcement returns what control is told about the upstream, or nil until it has checked in. The upstream has the name of
+// its machine.
+func announcement(cfg parser.StreamAgent, a *admitter.Admitter) *leaser.Announcement {
+	an, ok := a.Announcement()
+	if !ok {
+		return nil
+	}
+	return &leaser.Announcement{
+		Upstream: registrar.UpstreamName(cfg.Name), Service: cfg.Service, Slots: an.Slots,
+		Weight: registrar.Weight(an.Slots) * registrar.WeightPerSlot, Draining: an.Draining, OldestFlow: 1,
+	}
+}
+
+// checkIns logs what upstreams report, and lets entries and control know at once.
+type checkIns struct {
+	admitter *admitter.Admitter
+	recorder *recorder.Recorder
+	changed  func()
+}
+
+// CheckIn takes a report.
+func (c *checkIns) CheckIn(now time.Time, in admitter.CheckIn) error {
+	if err := c.admitter.CheckIn(now, in); err != nil {
+		c.recorder.Warn(recorder.CheckInRefused, zap.String("upstream", in.Name), recorder.Err(err))
+		return err
+	}
+	c.recorder.Info(recorder.UpstreamHeard, zap.String("upstream", in.Name), zap.Uint64("sequence", in.Sequence),
+		zap.Bool("draining", in.Draining), zap.Uint32("cold_ms", uint32(in.Cold)), zap.Uint16("slots", uint16(in.Slots)))
+	c.changed()
+	return nil
+}
+
+// Leave notes that an upstream ends.
+func (c *checkIns) Leave(name string) {
+	c.recorder.Info(recorder.UpstreamLeaves, zap.String("upstream", name))
+	c.admitter.Leave(name)
+	c.changed()
+}
--- a/internal/cli/runner/upkeep.go
+++ b/internal/cli/runner/upkeep.go
@@ -31,6 +31,8 @@
 	Collector *connector.Collector
 	Authority granter.Authority
 	Recorder  *recorder.Recorder
+	// Departed returns machines that have left; nil if none can.
+	Departed func() []planner.GoneFact
 
 	// failingSince is when each instance was first out of reach; instances that answer are not in it.
 	failingSince map[registrar.MachineName]time.Time
@@ -81,6 +83,9 @@
 			f.Gone = leaser.Gone(now, u.World, sessions)
 		}
 	}
+	if u.Departed != nil {
+		f.Gone = append(f.Gone, u.Departed()...)
+	}
 	if now.Before(u.batchAt) {
 		f.Trims = nil
 	} else {
--- a/internal/fake/deployer/deployer.go
+++ b/internal/fake/deployer/deployer.go
@@ -334,7 +334,7 @@
 	stderr, err := os.OpenFile(filepath.Join(d.Folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(d.t, err)
 	cmd := exec.Command(binary, role, "--settings", path)
-	cmd.Stderr = stderr
+	cmd.Stdout, cmd.Stderr = stderr, stderr
 	require.NoError(d.t, cmd.Start())
 	p := &Process{Name: name, cmd: cmd, stderr: stderr, done: make(chan struct{})}
 	go func() {
--- a/internal/report/exporter/exporter.go
+++ b/internal/report/exporter/exporter.go
@@ -67,6 +67,18 @@
 	return eris.Wrapf(err, "metric %s", name)
 }
 
+// Latency adds a histogram of times in seconds and returns the function that takes one.
+func (e *Exporter) Latency(name, help string) (func(time.Duration), error) {
+	h, err := e.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	if err != nil {
+		return nil, eris.Wrapf(err, "metric %s", name)
+	}
+	return func(d time.Duration) { h.Record(context.Background(), d.Seconds()) }, nil
+}
+
+// latencyBounds are the bounds of the buckets of latencies, in seconds.
+var latencyBounds = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}
+
 func callback(read func(Emit)) metric.Int64Callback {
 	return func(_ context.Context, o metric.Int64Observer) error {
 		read(func(value int64, labels ...attribute.KeyValue) { o.Observe(value, metric.WithAttributes(labels...)) })
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -2,8 +2,10 @@
 package recorder
 
 import (
-	"github.com/rotisserie/eris"
+	"io"
+
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // Event is a numbered kind of log entry. Numbers are never reused.
@@ -37,17 +39,32 @@
 
 // Recorder writes events.
 type Recorder struct {
-	log *zap.Logger
+	log    *zap.Logger
+	budget flowBudget
+	// queue is nil if nothing is written.
+	queue *queue
+}
+
+// New returns a recorder that writes JSON lines without waiting for the writer. Close must follow.
+func New(w io.Writer) *Recorder {
+	q := newQueue(w)
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	return &Recorder{log: zap.New(zapcore.NewCore(encoder, q, zap.InfoLevel)), queue: q}
+}
+
+// Close writes the lines that wait, unless that takes too long. Later ones are lost.
+func (r *Recorder) Close() {
+	if r.queue != nil {
+		r.queue.close()
+	}
 }
 
-// New returns a recorder that writes JSON lines to standard error.
-func New() (*Recorder, error) {
-	cfg := zap.NewProductionConfig()
-	cfg.Sampling = nil
-	cfg.DisableStacktrace = true
-	cfg.DisableCaller = true
-	log, err := cfg.Build()
-	return &Recorder{log: log}, eris.Wrap(err, "build logger")
+// Lost returns how many lines were not written because the writer was too slow.
+func (r *Recorder) Lost() uint64 {
+	if r.queue == nil {
+		return 0
+	}
+	return r.queue.lost.Load()
 }
 
 // Discard returns a recorder that writes nothing.
--- a/internal/setting/parser/rule.go
+++ b/internal/setting/parser/rule.go
@@ -28,6 +28,9 @@
 	minFlowQuiet = 100 * time.Millisecond
 	maxFlowQuiet = 5 * time.Minute
 	minShare     = 0.5
+	// The bounds of the cold rate only refuse typing errors.
+	maxColdFactor = 1000
+	maxColdSlack  = 1_000_000
 	// maxShare allows 26 s of failure in a month.
 	maxShare = 0.99999
 )
@@ -58,6 +61,10 @@
 		d, ok := v.(Duration)
 		return ok && slices.Contains(burner.Bounds[:], time.Duration(d))
 	}},
+	"port":       {"a port from 1 to 65535", func(v any) bool { p, ok := v.(Port); return ok && p > 0 }},
+	"bool":       {"true or false", func(v any) bool { _, ok := v.(bool); return ok }},
+	"factor":     {"0 to 1000", func(v any) bool { f, ok := v.(float64); return ok && f >= 0 && f <= maxColdFactor }},
+	"count":      {"0 to 1000000", func(v any) bool { n, ok := v.(uint32); return ok && n <= maxColdSlack }},
 	"flow_quiet": {"a duration from 100ms to 5m", within(minFlowQuiet, maxFlowQuiet)},
 	"drain":      {"a duration from 1s to 1h", within(time.Second, maxDrain)},
 }
@@ -96,7 +103,7 @@
 }
 
 // distinct finds TCP addresses that two fields share.
-func (m *Machine) distinct(more map[string]netip.AddrPort) []mismatch {
+func (m *Host) distinct(more map[string]netip.AddrPort) []mismatch {
 	var all []mismatch
 	seen := map[netip.AddrPort]string{m.ControlAddress: "control_address"}
 	check := func(path string, a netip.AddrPort) {
--- a/internal/setting/parser/settings.go
+++ b/internal/setting/parser/settings.go
@@ -38,14 +38,19 @@
 // MarshalText formats a duration.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
 
-// Machine holds the settings that all roles share.
-type Machine struct {
-	Name           registrar.MachineName `json:"name" rule:"name" doc:"name of the machine, unique in the deployment; its certificate is issued to it"`
+// Host holds the settings that all roles share.
+type Host struct {
+	Name           registrar.MachineName `json:"name" rule:"name" doc:"name of the machine, unique in the deployment; its certificate, if it has one, is issued to it"`
 	Zone           registrar.ZoneName    `json:"zone" rule:"name" doc:"zone (data centre) that the machine stands in"`
 	Region         registrar.RegionName  `json:"region" rule:"name" doc:"region of the zone"`
 	ControlAddress netip.AddrPort        `json:"control_address" rule:"address" doc:"where the machine takes calls of other machines (TCP)"`
 	MetricsAddress netip.AddrPort        `json:"metrics_address" rule:"address" default:"" doc:"where /metrics and /ready are served over HTTP; without it they are off"`
-	Keys           Keys                  `json:"keys"`
+}
+
+// Machine holds the settings that all roles of a network with keys share.
+type Machine struct {
+	Host
+	Keys Keys `json:"keys"`
 }
 
 // Keys names the files that hold key material.
--- a/internal/setting/parser/settings_test.go
+++ b/internal/setting/parser/settings_test.go
@@ -76,6 +76,9 @@
 	walk(reflect.TypeFor[Entry]())
 	walk(reflect.TypeFor[Agent]())
 	walk(reflect.TypeFor[Control]())
+	walk(reflect.TypeFor[StreamEntry]())
+	walk(reflect.TypeFor[StreamAgent]())
+	walk(reflect.TypeFor[OpenControl]())
 }
 
 // TestDocument guards against a settings page that differs from the code. The tables come from peridotstage check-settings ROLE.
@@ -86,6 +89,9 @@
 		func(w *strings.Builder) error { return WriteFields[Entry](w) },
 		func(w *strings.Builder) error { return WriteFields[Agent](w) },
 		func(w *strings.Builder) error { return WriteFields[Control](w) },
+		func(w *strings.Builder) error { return WriteFields[StreamEntry](w) },
+		func(w *strings.Builder) error { return WriteFields[StreamAgent](w) },
+		func(w *strings.Builder) error { return WriteFields[OpenControl](w) },
 	} {
 		var w strings.Builder
 		require.NoError(t, write(&w))
--- /dev/null
+++ b/internal/setting/parser/stream.go
@@ -0,0 +1,79 @@
+package parser
+
+import (
+	"net/netip"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// Seeds name control instances that a machine on a trusted network knows at its start. It learns of the others from them.
+type Seeds struct {
+	Addresses []netip.AddrPort `json:"seeds" rule:"address" min:"1" max:"64" doc:"addresses of some control instances"`
+	Port      Port             `json:"seed_port" rule:"port" default:"" doc:"port at which control instances take calls of other machines; without it that of the address in seeds"`
+}
+
+// Port is a TCP or UDP port.
+type Port uint16
+
+// Control returns where the seeds take calls of other machines.
+func (s Seeds) Control() []netip.AddrPort {
+	all := make([]netip.AddrPort, len(s.Addresses))
+	for i, a := range s.Addresses {
+		all[i] = a
+		if s.Port != 0 {
+			all[i] = netip.AddrPortFrom(a.Addr(), uint16(s.Port))
+		}
+	}
+	return all
+}
+
+// OpenControl holds the settings of a control instance of an open group on a trusted network.
+type OpenControl struct {
+	Host
+	Seeds
+	Founding        bool                                        `json:"founding" rule:"bool" default:"false" doc:"true only when the whole system starts for the first time: the seeds then found the control log"`
+	DataFolder      string                                      `json:"data_folder" rule:"file" doc:"folder of the durable state"`
+	OperatorAddress netip.AddrPort                              `json:"operator_address" rule:"address" doc:"where operators are served over HTTP, in the form of the platform"`
+	Zones           map[registrar.ZoneName]registrar.RegionName `json:"zones" rule:"name" min:"1" max:"1000" doc:"region of each zone"`
+}
+
+// StreamNode holds the settings that entries and agents of stream services share. Their network is trusted.
+type StreamNode struct {
+	Host
+	Seeds
+	DataAddress  netip.AddrPort `json:"data_address" rule:"address" doc:"where the machine takes datagrams of other machines (UDP)"`
+	ReadyAddress netip.AddrPort `json:"ready_address" rule:"address" doc:"where /ready is served over HTTP"`
+	// CallerAddress is bound by entries only.
+	CallerAddress netip.AddrPort `json:"caller_address" rule:"address" doc:"where an entry takes packets of callers (UDP); callers take packets at the same port"`
+	LeaseExpired  LeaseExpired   `json:"lease_expired" rule:"lease_expired" default:"serve" doc:"what to do without a valid lease: fence passes nothing; serve goes on with the last configuration"`
+	Linger        Duration       `json:"linger" rule:"linger" default:"3s" reload:"yes" doc:"how long the machine goes on forwarding at a planned stop after it has reported that it is not ready"`
+}
+
+// StreamEntry holds the settings of an entry of stream services.
+type StreamEntry struct {
+	StreamNode
+}
+
+// StreamAgent holds the settings of an agent beside an upstream of a stream service.
+type StreamAgent struct {
+	StreamNode
+	Service         registrar.ServiceName `json:"service" rule:"name" doc:"service that the upstream belongs to"`
+	UpstreamAddress netip.AddrPort        `json:"upstream_address" rule:"address" doc:"where the upstream takes packets (UDP)"`
+	OutboundAddress netip.AddrPort        `json:"outbound_address" rule:"address" doc:"where the upstream sends its packets (UDP)"`
+	CheckInAddress  netip.AddrPort        `json:"check_in_address" rule:"address" doc:"where the upstream reports its state over HTTP, in the form of the platform"`
+	ColdFactor      float64               `json:"cold_factor" rule:"factor" default:"1" doc:"how many times its cold rate a cold upstream may get in a second"`
+	ColdSlack       uint32                `json:"cold_slack" rule:"count" default:"0" doc:"new requests that a cold upstream may get in a second besides"`
+	MaxFlowAge      Duration              `json:"max_flow_age" rule:"drain" default:"60s" doc:"age at which a flow may be forgotten"`
+}
+
+func (c *OpenControl) crossCheck() []mismatch {
+	return c.distinct(map[string]netip.AddrPort{"operator_address": c.OperatorAddress})
+}
+
+func (e *StreamEntry) crossCheck() []mismatch {
+	return e.distinct(map[string]netip.AddrPort{"ready_address": e.ReadyAddress})
+}
+
+func (a *StreamAgent) crossCheck() []mismatch {
+	return a.distinct(map[string]netip.AddrPort{"ready_address": a.ReadyAddress, "check_in_address": a.CheckInAddress})
+}
--- a/main.go
+++ b/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"github.com/peridotstage/peridotstage/internal/cli/commander"
+	"github.com/peridotstage/peridotstage/platform"
 )
 
 func main() {
-	os.Exit(commander.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(commander.Main(os.Args[1:], os.Stdout, os.Stderr, platform.Adapter{}))
 }
