Search past agents that have gone, and count answers whose end overtook them

Agents that do not report now come last, and an agent that stops tells control at once that it holds nothing. Ruled out: a server that holds a flow of another one (all packets came back bounced), a stale record of the entry.

--- a/internal/admit/admitter/admitter.go
+++ b/internal/admit/admitter/admitter.go
@@ -273,12 +273,14 @@
 		fl.phase, fl.since = held, now
 		act.Held, act.Entry = fl.searching && fl.entry.IsValid(), fl.entry
 	}
-	if len(seg.Payload) > 0 && fl.working {
+	ends := seg.Has(carrier.End) || seg.Has(carrier.Reset)
+	// The end of a flow may overtake the answer.
+	if fl.working && (len(seg.Payload) > 0 || ends) {
 		act.Ended = now.Sub(fl.requestAt)
 		a.upstream.sample(act.Ended, fl.crowd)
 		a.release(fl)
 	}
-	if seg.Has(carrier.End) || seg.Has(carrier.Reset) {
+	if ends {
 		a.release(fl)
 		fl.phase, fl.since = closed, now
 	}
--- a/internal/admit/admitter/admitter_test.go
+++ b/internal/admit/admitter/admitter_test.go
@@ -287,3 +287,18 @@
 	require.Zero(t, a.Report(start).Busy)
 	require.Zero(t, a.Flows())
 }
+
+// TestReorderedAnswer guards against a request that never counts as answered because the end of the flow overtook the answer
+// on its way: without the time of requests entries place by guesses.
+func TestReorderedAnswer(t *testing.T) {
+	a := newAdmitter(t)
+	a.openFlow(t, start, 1)
+	later := start.Add(30 * time.Millisecond)
+	act := a.FromUpstream(later, fromUpstream(1, carrier.Acknowledge|carrier.End))
+	require.Equal(t, 30*time.Millisecond, act.Ended)
+	require.Equal(t, uint32(30_000), a.Report(later).WorkMicros)
+	answer := fromUpstream(1, carrier.Acknowledge)
+	answer.Payload = []byte("200")
+	require.Zero(t, a.FromUpstream(later, answer).Ended)
+	require.Zero(t, a.Report(later).Busy)
+}
--- a/internal/cli/runner/stream_agent.go
+++ b/internal/cli/runner/stream_agent.go
@@ -83,10 +83,15 @@
 	if !ok {
 		return nil
 	}
-	return &leaser.Announcement{
+	out := &leaser.Announcement{
 		Upstream: registrar.UpstreamName(cfg.Name), Service: cfg.Service, Slots: an.Slots,
-		Weight: registrar.Weight(an.Slots) * registrar.WeightPerSlot, Draining: an.Draining, OldestFlow: 1,
+		Weight: registrar.Weight(an.Slots) * registrar.WeightPerSlot, Draining: an.Draining,
 	}
+	// Generations of stream services are not used, so any revision stands for that of the oldest flow.
+	if a.Flows() > 0 || !an.Draining {
+		out.OldestFlow = 1
+	}
+	return out
 }
 
 // checkIns logs what upstreams report, and lets entries and control know at once.
--- a/internal/cli/runner/stream_entry.go
+++ b/internal/cli/runner/stream_entry.go
@@ -93,9 +93,16 @@
 	for end := time.Now().Add(linger.get()); time.Now().Before(end) && g.ctx.Err() == nil && !idle(); {
 		g.pause(lingerPoll)
 	}
+	// Control learns at once that nothing is held here any more.
+	farewell, cancel := context.WithTimeout(g.ctx, farewellTime)
+	defer cancel()
+	n.lastHeartbeat(farewell)
 	g.cancel(nil)
 	return g.wait()
 }
 
+// farewellTime bounds the last heartbeat of a machine that stops.
+const farewellTime = 500 * time.Millisecond
+
 // lingerPoll is how often a machine that stops looks whether it is idle.
 const lingerPoll = 100 * time.Millisecond
--- a/internal/front/connector/collector_test.go
+++ b/internal/front/connector/collector_test.go
@@ -18,7 +18,7 @@
 	return append([]registrar.MachineName(nil), *m...)
 }
 
-func (m *members) Address(registrar.MachineName) (netip.AddrPort, bool) {
+func (m *members) AddressOf(registrar.MachineName) (netip.AddrPort, bool) {
 	return netip.AddrPort{}, false
 }
 
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -131,7 +131,7 @@
 	case seg.Opens():
 		return s.open(now, sh, route, seg, h)
 	case rec == nil || !rec.member.reachable(now):
-		return s.search(route, h, 0)
+		return s.search(now, route, h, 0)
 	}
 	rec.seenAt = now
 	return Decision{Verb: Pass, Reason: ReasonKnown, To: rec.member.address, Header: rec.member.passHeader()}
@@ -202,11 +202,11 @@
 }
 
 // search asks the next agent for a flow.
-func (s *Steerer) search(route registrar.Route, h uint64, step int) Decision {
+func (s *Steerer) search(now time.Time, route registrar.Route, h uint64, step int) Decision {
 	if step >= maxSearch {
 		return Decision{Reason: ReasonNoFlow}
 	}
-	m := s.current().nth(route, h, step)
+	m := s.current().nth(now, route, h, step)
 	if m == nil {
 		return Decision{Reason: ReasonNoFlow}
 	}
@@ -233,12 +233,12 @@
 		return s.replace(now, sh, route, flow, h, from, header.Reason)
 	}
 	if header.Searching {
-		return s.search(route, h, int(header.Step)+1)
+		return s.search(now, route, h, int(header.Step)+1)
 	}
 	if rec := sh.flows[flow]; rec != nil && rec.member.address == from {
 		s.forget(sh, flow)
 	}
-	return s.search(route, h, 0)
+	return s.search(now, route, h, 0)
 }
 
 // replace offers a flow to another upstream.
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -308,3 +308,26 @@
 	s.Lease = leased(false)
 	require.Equal(t, Decision{Reason: ReasonNoLease}, s.FromCaller(start, packet(1, carrier.Open, 0)))
 }
+
+// TestSearchPassesDeadAgent guards against a search that stops at an agent which has gone without a word: it never returns the
+// packet, so all agents that report are asked before it.
+func TestSearchPassesDeadAgent(t *testing.T) {
+	s := newSite(t, 5, 0)
+	data := packet(1, carrier.Acknowledge, 0)
+	first := s.FromCaller(start, data).To
+	now := start.Add(time.Second)
+	for n := 1; n <= 5; n++ {
+		s.report(start, n, 0)
+		if agentAddress(n) != first {
+			s.report(now, n, 0)
+		}
+	}
+	d := s.FromCaller(now, data)
+	for range 4 {
+		require.NotEqual(t, first, d.To)
+		header := d.Header
+		header.Kind, header.Reason = carrier.HopReturn, carrier.ReturnUnknown
+		d = s.Returned(now, d.To, header, data)
+	}
+	require.Equal(t, first, d.To)
+}
--- a/internal/route/steerer/view.go
+++ b/internal/route/steerer/view.go
@@ -29,16 +29,19 @@
 
 // accepting reports whether the agent has said lately that its upstream takes new flows.
 func (m *member) accepting(now time.Time) bool {
-	r, age, ok := m.load.latest(now)
-	return m.open && ok && age <= reportLife && r.Accepting
+	r, _, _ := m.load.latest(now)
+	return m.open && m.reporting(now) && r.Accepting
 }
 
-// reachable reports whether packets of open flows may reach the upstream.
-func (m *member) reachable(now time.Time) bool {
+// reporting reports whether the agent has been heard lately.
+func (m *member) reporting(now time.Time) bool {
 	_, age, ok := m.load.latest(now)
-	return !m.silent || ok && age <= reportLife
+	return ok && age <= reportLife
 }
 
+// reachable reports whether packets of open flows may reach the upstream.
+func (m *member) reachable(now time.Time) bool { return !m.silent || m.reporting(now) }
+
 // fleet is the upstreams of one service, sorted by id.
 type fleet struct {
 	members []*member
@@ -86,8 +89,9 @@
 const targetSalt = 0x5bf0_3635_d1b2_a6c7
 
 // nth returns the upstream that is asked for a flow after step others: first those of the service that the flow would go to
-// now, then those of the other targets. It is nil after the last one.
-func (v *view) nth(r registrar.Route, h uint64, step int) *member {
+// now, then those of the other targets. Upstreams whose agents do not report come last, because a packet that reaches no agent
+// ends the search. It is nil after the last one.
+func (v *view) nth(now time.Time, r registrar.Route, h uint64, step int) *member {
 	first := targetOf(r, h)
 	names := []registrar.ServiceName{first}
 	for _, t := range r.Targets {
@@ -95,16 +99,21 @@
 			names = append(names, t.Service)
 		}
 	}
+	var mute []*member
 	for _, name := range names {
 		f := v.fleets[name]
 		if f == nil {
 			continue
 		}
-		ranked := f.ranked(h, func(m *member) bool { return !m.silent })
+		ranked := f.ranked(h, func(m *member) bool { return m.reporting(now) })
 		if step < len(ranked) {
 			return ranked[step]
 		}
 		step -= len(ranked)
+		mute = append(mute, f.ranked(h, func(m *member) bool { return !m.silent && !m.reporting(now) })...)
+	}
+	if step < len(mute) {
+		return mute[step]
 	}
 	return nil
 }
