--- a/internal/control/driver/applier.go
+++ b/internal/control/driver/applier.go
@@ -12,6 +12,9 @@
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 )
 
+// snapshotRetry is the number of entries after which a snapshot that could not be saved is tried again.
+const snapshotRetry = 64
+
 // work is something to apply.
 type work struct {
 	install *replicator.Snapshot
@@ -31,6 +34,8 @@
 	// The fields below belong to the goroutine.
 	applied replicator.Index
 	saved   replicator.Index
+	// tried is where a snapshot was last tried.
+	tried   replicator.Index
 	last    replicator.Position
 	members replicator.Members
 }
@@ -87,9 +92,11 @@
 			continue
 		}
 		a.apply(e)
-		if a.applied-a.saved >= a.driver.SnapshotEntries {
+		if a.applied-a.saved >= a.driver.SnapshotEntries && (a.tried <= a.saved || a.applied-a.tried >= snapshotRetry) {
+			a.tried = a.applied
 			if err := a.snapshot(ctx); err != nil {
-				return err
+				// The log keeps its entries until a later try succeeds.
+				a.driver.Recorder.Error(recorder.SnapshotFailed, recorder.Err(err))
 			}
 		}
 	}
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -146,7 +146,11 @@
 	defer ticker.Stop()
 	// A sole voter founds its log with the first tick and leads with the second.
 	for range 2 {
-		if err := d.handle(replicator.Tick{}); err != nil {
+		err := d.handle(replicator.Tick{})
+		if eris.Is(err, errDisk) {
+			err = d.reopen(ctx, err)
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -159,7 +163,11 @@
 			ev = replicator.Tick{}
 		case ev = <-d.events:
 		}
-		if err := d.handle(ev); err != nil {
+		err := d.handle(ev)
+		if eris.Is(err, errDisk) {
+			err = d.reopen(ctx, err)
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -188,7 +196,7 @@
 func (d *Driver) step(ev replicator.Event) error {
 	d.replica.Step(time.Now(), ev)
 	if s, ok := ev.(replicator.Snapshotted); ok && s.Snapshot.Index > replicator.DefaultKeep {
-		return d.store.release(s.Snapshot.Index - replicator.DefaultKeep)
+		return diskError(d.store.release(s.Snapshot.Index - replicator.DefaultKeep))
 	}
 	return nil
 }
@@ -202,7 +210,7 @@
 			zap.Int("bytes", len(e.Install.State)))
 	}
 	if err := d.store.write(e); err != nil {
-		return err
+		return diskError(err)
 	}
 	d.Sender.Send(e.Sends)
 	for _, w := range e.Written {
--- a/internal/control/driver/propose.go
+++ b/internal/control/driver/propose.go
@@ -47,6 +47,16 @@
 	}
 }
 
+// fail ends all proposals that wait.
+func (w *waiters) fail(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for t, c := range w.open {
+		delete(w.open, t)
+		c <- replicator.Outcome{Token: t, Err: err}
+	}
+}
+
 // Propose writes an entry to the log and returns the result of applying it. It passes the entry on to the leader if
 // another member leads, and waits for a leader while there is none. With replicator.ErrUncertain the entry may be applied
 // later; with other errors nothing has happened.
--- a/internal/control/driver/store.go
+++ b/internal/control/driver/store.go
@@ -62,6 +62,12 @@
 	return st, s.createIdentity()
 }
 
+// reload reads the state again after a failed write.
+func (s *store) reload() (replicator.State, error) {
+	s.journal = journaler.Journal{Folder: s.journal.Folder, Syncer: s.journal.Syncer}
+	return s.load()
+}
+
 func (s *store) createIdentity() error {
 	var b [8]byte
 	if _, err := rand.Read(b[:]); err != nil {
--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -48,7 +48,7 @@
 func (e *Elector) Start(now time.Time, b Ballot) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.ballot, e.role = b, Follower
+	e.ballot, e.role, e.leader = b, Follower, 0
 	if b != (Ballot{}) {
 		e.stickyUntil = now.Add(MinElection)
 	}
--- a/internal/control/replicator/replica.go
+++ b/internal/control/replicator/replica.go
@@ -96,6 +96,20 @@
 // Start begins with the state found on disk.
 func (r *Replica) Start(now time.Time, st State) error {
 	r.session, r.startedAt = r.Rand.Uint64()|1, now
+	r.elector = elector.Elector{Self: r.Self, Electorate: &r.log, Journal: &r.log, Rand: r.Rand}
+	return r.load(now, st)
+}
+
+// Restart begins again with the state found on disk, after a write to it has failed. Nothing that the effects of earlier
+// steps said may have left the process since.
+func (r *Replica) Restart(now time.Time, st State) error {
+	r.termStart.Store(0)
+	r.setPeers(nil)
+	r.effects, r.incoming = Effects{}, Snapshot{}
+	return r.load(now, st)
+}
+
+func (r *Replica) load(now time.Time, st State) error {
 	r.snapshot = st.Snapshot
 	r.log.Reset(st.Snapshot.Position, st.Snapshot.Members)
 	for _, e := range st.Entries {
@@ -109,7 +123,6 @@
 	r.commit = st.Snapshot.Index
 	r.voucher.setCommit(now, r.commit)
 	r.voucher.setApplied(now, r.commit)
-	r.elector = elector.Elector{Self: r.Self, Electorate: &r.log, Journal: &r.log, Rand: r.Rand}
 	r.elector.Start(now, st.Ballot)
 	return nil
 }
--- a/internal/report/recorder/control.go
+++ b/internal/report/recorder/control.go
@@ -10,4 +10,7 @@
 	SnapshotInstalled = Event{4105, "snapshot installed"}
 	PeerSilent        = Event{4106, "control instance does not answer"}
 	PeerHeard         = Event{4107, "control instance answers again"}
+	DiskFailed        = Event{4108, "disk does not take writes"}
+	DiskReopened      = Event{4109, "data folder opened again"}
+	SnapshotFailed    = Event{4110, "snapshot cannot be saved"}
 )
