--- a/internal/cli/runner/node.go
+++ b/internal/cli/runner/node.go
@@ -114,8 +114,9 @@
 	return n.serves
 }
 
-// Update lets the node serve without a lease once the configuration says that it does.
-func (n *node) Update(*registrar.World) {
+// Update learns of control instances, and lets the node serve without a lease once the configuration says that it does.
+func (n *node) Update(w *registrar.World) {
+	n.clients.learn(w)
 	n.expiryMu.Lock()
 	defer n.expiryMu.Unlock()
 	n.permitServing()
--- a/internal/world/registrar/route.go
+++ b/internal/world/registrar/route.go
@@ -49,7 +49,7 @@
 	Kind    RouteKind      `json:"kind"`
 	// Timeout bounds a request; at least 1.
 	Timeout       Millis   `json:"timeout_ms"`
-	TargetLatency Millis   `json:"target_latency_ms,omitempty"`
+	TargetLatency Millis   `json:"latency_target_ms,omitempty"`
 	Priority      Priority `json:"priority,omitempty"`
 	// Targets have at least one element with a weight above 0, and no service twice.
 	Targets []Target `json:"targets"`
