Turn away at the agent what cannot be answered in time, less urgent requests first

Cause: under a burst of 2.6 times the usual load the queues of all servers were as long as they hold; what they answered was late whatever its urgency. An agent now takes a new flow only if its request is expected to be answered within its route's target latency, or 0.6 of it while other routes of the service are more urgent, and half of that for copies.

--- a/internal/admit/admitter/admitter.go
+++ b/internal/admit/admitter/admitter.go
@@ -117,7 +117,9 @@
 
 	shards   [flowShards]shard
 	upstream upstream
-	idle     atomic.Int64
+	// urgency holds the newest configuration's view of the routes; nil before the first one.
+	urgency atomic.Pointer[urgency]
+	idle    atomic.Int64
 	// changes counts what changes the report.
 	changes atomic.Uint64
 }
@@ -204,7 +206,7 @@
 		refusal.Header.Reason = carrier.ReturnService
 		return refusal
 	}
-	if refusal.Header.Reason = a.upstream.admit(now, a); refusal.Header.Reason != 0 {
+	if refusal.Header.Reason = a.upstream.admit(now, a, a.urgency.Load().bound(seg)); refusal.Header.Reason != 0 {
 		a.changes.Add(1)
 		return refusal
 	}
@@ -397,5 +399,6 @@
 	z, known := w.Zone(a.Zone)
 	service, _ := w.Service(a.Service)
 	a.upstream.configure(known && z.Withdrawn, service.ColdRate)
+	a.urgency.Store(newUrgency(w, a.Service))
 	a.changes.Add(1)
 }
--- a/internal/admit/admitter/upstream.go
+++ b/internal/admit/admitter/upstream.go
@@ -17,6 +17,8 @@
 	// coldWindow is the span in which the new flows of a cold upstream are counted. It is longer than the second of the bound,
 	// because packets may be held up on their way.
 	coldWindow = 1200 * time.Millisecond
+	// unmeasuredCrowd bounds the requests for each slot of an upstream whose speed is not known.
+	unmeasuredCrowd = 4
 	// workShare is the weight of the newest request in the mean time of requests.
 	workShare = 0.1
 	// keepIncarnations is how many ended starts of an upstream are remembered, so that their late check-ins change nothing.
@@ -97,7 +99,7 @@
 }
 
 // admit takes a new flow, or says why not.
-func (u *upstream) admit(now time.Time, a *Admitter) carrier.ReturnReason {
+func (u *upstream) admit(now time.Time, a *Admitter, bound time.Duration) carrier.ReturnReason {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.trimLocked(now)
@@ -108,11 +110,23 @@
 		return carrier.ReturnSilent
 	case u.coldLocked(now) && u.allowanceLocked(now, a) == 0:
 		return carrier.ReturnCold
+	case u.crowdedLocked(bound):
+		return carrier.ReturnBusy
 	}
 	u.admitted = append(u.admitted, now)
 	return 0
 }
 
+// crowdedLocked reports whether a further request would probably not be answered within a bound. An upstream with a free slot
+// is never crowded, however slow it is.
+func (u *upstream) crowdedLocked(bound time.Duration) bool {
+	ahead, slots := u.busy+1, int(max(u.slots, 1))
+	if ahead <= slots || u.work == 0 {
+		return ahead > unmeasuredCrowd*slots
+	}
+	return u.work*time.Duration(ahead)/time.Duration(slots) > bound
+}
+
 // heard notes a sign of life. It reports whether the upstream was silent.
 func (u *upstream) heard(time.Time) bool {
 	u.mu.Lock()
--- a/internal/front/administrator/openapi.go
+++ b/internal/front/administrator/openapi.go
@@ -109,6 +109,9 @@
 	case reflect.Struct:
 		return s.structure(t)
 	case reflect.Slice, reflect.Array:
+		if t.Elem().Kind() == reflect.Uint8 {
+			return object{"type": "string", "format": "byte"}
+		}
 		return object{"type": "array", "items": s.of(t.Elem())}
 	case reflect.Float64:
 		return object{"type": "number"}
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -230,7 +230,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if seg.Opens() {
-		return s.replace(now, sh, route, flow, h, from, header.Reason)
+		return s.replace(now, sh, route, seg, h, from, header.Reason)
 	}
 	if header.Searching {
 		return s.search(now, route, h, int(header.Step)+1)
@@ -242,9 +242,10 @@
 }
 
 // replace offers a flow to another upstream.
-func (s *Steerer) replace(now time.Time, sh *shard, route registrar.Route, flow registrar.Flow, h uint64, from netip.AddrPort,
+func (s *Steerer) replace(now time.Time, sh *shard, route registrar.Route, seg *carrier.Segment, h uint64, from netip.AddrPort,
 	reason carrier.ReturnReason,
 ) Decision {
+	flow := seg.Flow()
 	rec := sh.flows[flow]
 	if rec == nil || rec.member.address != from {
 		// Another copy of the packet is under way.
@@ -254,22 +255,29 @@
 	tried := append(rec.tried, rec.member.id)
 	if len(tried) >= maxPlacements {
 		s.forget(sh, flow)
-		return s.exhausted(reason)
+		return s.exhausted(seg, reason)
 	}
 	d := s.place(now, sh, route, flow, h, tried)
 	if d.Verb != Pass {
 		s.forget(sh, flow)
-		return s.exhausted(reason)
+		return s.exhausted(seg, reason)
 	}
 	return d
 }
 
+// lastAttempt is the number of the last copy that a caller sends of an opening packet.
+const lastAttempt = 2
+
 // exhausted ends the placement of a flow that no upstream has taken. Upstreams without room may have some when the caller's
-// next copy comes; a flow that upstreams refuse or that has none to go to ends at once.
-func (s *Steerer) exhausted(reason carrier.ReturnReason) Decision {
+// next copy comes. A flow that upstreams refuse or that has none to go to ends at once, and so does one whose last copy found
+// no room: nothing would come after it.
+func (s *Steerer) exhausted(seg *carrier.Segment, reason carrier.ReturnReason) Decision {
 	switch reason {
-	case carrier.ReturnCold, carrier.ReturnSilent, carrier.ReturnClosed:
-		return Decision{Reason: ReasonNoRoom}
+	case carrier.ReturnCold, carrier.ReturnSilent, carrier.ReturnClosed, carrier.ReturnBusy:
+		if seg.Attempt() < lastAttempt {
+			return Decision{Reason: ReasonNoRoom}
+		}
+		return Decision{Verb: Reset, Reason: ReasonNoRoom}
 	default:
 		return Decision{Verb: Reset, Reason: ReasonNoUpstream}
 	}
