--- a/internal/admit/admitter/admitter.go
+++ b/internal/admit/admitter/admitter.go
@@ -248,8 +248,9 @@
 	fl.pending, fl.working = false, false
 }
 
-// FromUpstream decides about a packet that the upstream sent.
-func (a *Admitter) FromUpstream(now time.Time, seg *carrier.Segment) Action {
+// FromUpstream decides about a packet that the upstream sent. notRun is true if it says that the upstream had no room for the
+// request of the flow.
+func (a *Admitter) FromUpstream(now time.Time, seg *carrier.Segment, notRun bool) Action {
 	if seg.Has(carrier.Returned) {
 		return a.bounced(now, seg)
 	}
@@ -277,9 +278,15 @@
 	}
 	ends := seg.Has(carrier.End) || seg.Has(carrier.Reset)
 	// The end of a flow may overtake the answer.
+	if notRun {
+		a.upstream.overflowed(now, fl.crowd)
+		a.changes.Add(1)
+	}
 	if fl.working && (len(seg.Payload) > 0 || ends) {
 		act.Ended = now.Sub(fl.requestAt)
-		a.upstream.sample(act.Ended, fl.crowd)
+		if !notRun {
+			a.upstream.sample(act.Ended, fl.crowd)
+		}
 		a.release(fl)
 	}
 	if ends {
--- a/internal/admit/admitter/admitter_test.go
+++ b/internal/admit/admitter/admitter_test.go
@@ -54,7 +54,7 @@
 // openFlow opens a flow and lets the caller send a request.
 func (a *Admitter) openFlow(t require.TestingT, now time.Time, port int) {
 	require.Equal(t, Deliver, a.offer(now, port).Verb)
-	require.Equal(t, Answer, a.FromUpstream(now, fromUpstream(port, carrier.Open|carrier.Acknowledge)).Verb)
+	require.Equal(t, Answer, a.FromUpstream(now, fromUpstream(port, carrier.Open|carrier.Acknowledge), false).Verb)
 	request := fromCaller(port, carrier.Acknowledge)
 	request.Sequence, request.Payload = 1, []byte("GET")
 	act := a.FromEntry(now, entry, desk, request, nil)
@@ -158,14 +158,14 @@
 			a.openFlow(t, now, 1)
 			now = now.Add(2 * coldWindow)
 			lost := fromCaller(1, carrier.Acknowledge|carrier.Returned)
-			require.Equal(t, carrier.ReturnUnknown, a.FromUpstream(now, lost).Header.Reason)
+			require.Equal(t, carrier.ReturnUnknown, a.FromUpstream(now, lost, false).Header.Reason)
 		}
 		var taken []time.Time
 		for port := 2; port < 200; port++ {
 			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
 			if a.offer(now, port).Verb == Deliver {
 				taken = append(taken, now)
-				a.FromUpstream(now, fromUpstream(port, carrier.Open|carrier.Acknowledge))
+				a.FromUpstream(now, fromUpstream(port, carrier.Open|carrier.Acknowledge), false)
 			}
 		}
 		bound := int(rate*a.ColdFactor) + int(a.ColdSlack)
@@ -206,7 +206,7 @@
 	require.False(t, a.Report(later).Accepting)
 	require.Zero(t, a.Report(later).Busy)
 	require.Equal(t, carrier.ReturnSilent, a.offer(later, 2).Header.Reason)
-	require.Equal(t, Answer, a.FromUpstream(later, fromUpstream(1, carrier.Open|carrier.Acknowledge)).Verb)
+	require.Equal(t, Answer, a.FromUpstream(later, fromUpstream(1, carrier.Open|carrier.Acknowledge), false).Verb)
 	require.True(t, a.Report(later).Accepting)
 }
 
@@ -214,7 +214,7 @@
 func TestRefusedByUpstream(t *testing.T) {
 	a := newAdmitter(t)
 	a.offer(start, 1)
-	act := a.FromUpstream(start, fromCaller(1, carrier.Open|carrier.Returned))
+	act := a.FromUpstream(start, fromCaller(1, carrier.Open|carrier.Returned), false)
 	require.Equal(t, Return, act.Verb)
 	require.Equal(t, entry, act.Entry)
 	require.Equal(t, carrier.ReturnRefused, act.Header.Reason)
@@ -238,11 +238,11 @@
 	for port := 1; port <= 2; port++ {
 		require.Equal(t, Deliver, a.FromEntry(start, entry, search, fromCaller(port, carrier.Acknowledge), nil).Verb)
 	}
-	held := a.FromUpstream(start, fromUpstream(1, carrier.Acknowledge))
+	held := a.FromUpstream(start, fromUpstream(1, carrier.Acknowledge), false)
 	require.Equal(t, Answer, held.Verb)
 	require.True(t, held.Held)
 	require.Equal(t, entry, held.Entry)
-	lost := a.FromUpstream(start, fromCaller(2, carrier.Acknowledge|carrier.Returned))
+	lost := a.FromUpstream(start, fromCaller(2, carrier.Acknowledge|carrier.Returned), false)
 	require.Equal(t, Return, lost.Verb)
 	require.Equal(t, uint8(1), lost.Header.Step)
 	// Another entry that searches learns at once.
@@ -264,16 +264,16 @@
 	require.False(t, a.FromEntry(start, entry, desk, again, nil).Begun, "a retransmission begins another request")
 	answer := fromUpstream(1, carrier.Acknowledge)
 	answer.Payload = []byte("200")
-	act := a.FromUpstream(start.Add(20*time.Millisecond), answer)
+	act := a.FromUpstream(start.Add(20*time.Millisecond), answer, false)
 	require.Equal(t, 20*time.Millisecond, act.Ended)
-	require.Zero(t, a.FromUpstream(start.Add(21*time.Millisecond), answer).Ended)
+	require.Zero(t, a.FromUpstream(start.Add(21*time.Millisecond), answer, false).Ended)
 	require.Equal(t, uint16(1), a.Report(start).Busy)
 	require.Equal(t, uint32(20_000), a.Report(start).WorkMicros)
-	a.FromUpstream(start, fromUpstream(2, carrier.End))
+	a.FromUpstream(start, fromUpstream(2, carrier.End), false)
 	require.Zero(t, a.Report(start).Busy)
 	// An accepted flow without a request does not count for ever.
 	a.offer(start, 3)
-	a.FromUpstream(start, fromUpstream(3, carrier.Open|carrier.Acknowledge))
+	a.FromUpstream(start, fromUpstream(3, carrier.Open|carrier.Acknowledge), false)
 	require.Equal(t, uint16(1), a.Report(start).Busy)
 	a.Tick(start.Add(pendingTime + time.Millisecond))
 	require.Zero(t, a.Report(start).Busy)
@@ -294,11 +294,11 @@
 	a := newAdmitter(t)
 	a.openFlow(t, start, 1)
 	later := start.Add(30 * time.Millisecond)
-	act := a.FromUpstream(later, fromUpstream(1, carrier.Acknowledge|carrier.End))
+	act := a.FromUpstream(later, fromUpstream(1, carrier.Acknowledge|carrier.End), false)
 	require.Equal(t, 30*time.Millisecond, act.Ended)
 	require.Equal(t, uint32(30_000), a.Report(later).WorkMicros)
 	answer := fromUpstream(1, carrier.Acknowledge)
 	answer.Payload = []byte("200")
-	require.Zero(t, a.FromUpstream(later, answer).Ended)
+	require.Zero(t, a.FromUpstream(later, answer, false).Ended)
 	require.Zero(t, a.Report(later).Busy)
 }
--- a/internal/admit/admitter/overload_test.go
+++ b/internal/admit/admitter/overload_test.go
@@ -50,7 +50,7 @@
 		for i := range slots {
 			if s := &slots[i]; s.port != 0 && !now.Before(s.free) {
 				answer := &carrier.Segment{From: dest[s.port], To: caller(s.port), Flags: carrier.Acknowledge | carrier.End, Payload: []byte("200")}
-				a.FromUpstream(now, answer)
+				a.FromUpstream(now, answer, false)
 				s.port = 0
 				total++
 			}
@@ -77,7 +77,7 @@
 				asked[dest[port] == address]++
 				opening := &carrier.Segment{From: caller(port), To: dest[port], Flags: carrier.Open}
 				if a.FromEntry(now, entry, desk, opening, []byte{1}).Verb == Deliver {
-					a.FromUpstream(now, &carrier.Segment{From: dest[port], To: caller(port), Flags: carrier.Open | carrier.Acknowledge})
+					a.FromUpstream(now, &carrier.Segment{From: dest[port], To: caller(port), Flags: carrier.Open | carrier.Acknowledge}, false)
 					request := &carrier.Segment{From: caller(port), To: dest[port], Flags: carrier.Acknowledge, Sequence: 1, Payload: []byte("GET")}
 					a.FromEntry(now, entry, desk, request, nil)
 					queue = append(queue, replayed{port, now})
@@ -99,3 +99,21 @@
 	// A third of the load is urgent and all of it could be served.
 	require.GreaterOrEqual(t, (urgent*100+others*200)/100, 0.85, "answers come too late")
 }
+
+// TestLearnsRoom guards against an upstream that is offered again and again what it has no room for, and against one that is
+// held to a bound which it refused at once long ago.
+func TestLearnsRoom(t *testing.T) {
+	a := newAdmitter(t)
+	for port := 1; port <= 6; port++ {
+		a.openFlow(t, start, port)
+	}
+	refusal := fromUpstream(6, carrier.Acknowledge)
+	refusal.Payload = []byte("503")
+	a.FromUpstream(start, refusal, true)
+	require.Equal(t, uint16(5), a.Report(start).Busy)
+	require.Equal(t, carrier.ReturnBusy, a.offer(start, 7).Header.Reason)
+	require.Zero(t, a.Report(start).WorkMicros, "a refusal is no sample of work")
+	later := start.Add(roomGrowth)
+	require.Equal(t, Deliver, a.offer(later, 8).Verb)
+	require.Equal(t, carrier.ReturnBusy, a.offer(later, 9).Header.Reason)
+}
--- a/internal/admit/admitter/upstream.go
+++ b/internal/admit/admitter/upstream.go
@@ -17,6 +17,8 @@
 	// coldWindow is the span in which the new flows of a cold upstream are counted. It is longer than the second of the bound,
 	// because packets may be held up on their way.
 	coldWindow = 1200 * time.Millisecond
+	// roomGrowth is how long an upstream must refuse nothing to be offered one request more than it last had room for.
+	roomGrowth = 2 * time.Second
 	// unmeasuredCrowd bounds the requests for each slot of an upstream whose speed is not known.
 	unmeasuredCrowd = 4
 	// workShare is the weight of the newest request in the mean time of requests.
@@ -72,6 +74,9 @@
 	// admitted are the times of new flows within coldWindow.
 	admitted []time.Time
 	busy     int
+	// room is how many requests the upstream had room for when it last refused one, at roomAt; 0 if it has not refused any.
+	room   int
+	roomAt time.Time
 	// work is the mean time of a request without waiting; 0 if unknown.
 	work time.Duration
 }
@@ -110,7 +115,7 @@
 		return carrier.ReturnSilent
 	case u.coldLocked(now) && u.allowanceLocked(now, a) == 0:
 		return carrier.ReturnCold
-	case u.crowdedLocked(bound):
+	case u.crowdedLocked(now, bound):
 		return carrier.ReturnBusy
 	}
 	u.admitted = append(u.admitted, now)
@@ -119,14 +124,40 @@
 
 // crowdedLocked reports whether a further request would probably not be answered within a bound. An upstream with a free slot
 // is never crowded, however slow it is.
-func (u *upstream) crowdedLocked(bound time.Duration) bool {
+func (u *upstream) crowdedLocked(now time.Time, bound time.Duration) bool {
 	ahead, slots := u.busy+1, int(max(u.slots, 1))
+	if room := u.roomLocked(now); room > 0 && ahead > max(room, slots) {
+		return true
+	}
 	if ahead <= slots || u.work == 0 {
 		return ahead > unmeasuredCrowd*slots
 	}
 	return u.work*time.Duration(ahead)/time.Duration(slots) > bound
 }
 
+// overflowed notes that the upstream had no room for a request that came when there were crowd of them.
+func (u *upstream) overflowed(now time.Time, crowd int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	room := u.roomLocked(now)
+	if least := max(int(u.slots), 1); crowd-1 < least {
+		// Another agent of the same machine or a health check may have taken a slot; nothing is learned from it.
+		crowd = least + 1
+	}
+	if room == 0 || crowd-1 < room {
+		u.room, u.roomAt = crowd-1, now
+	}
+}
+
+// roomLocked returns how many requests the upstream holds as far as is known, or 0. What is known ages: the room grows by one
+// for each roomGrowth, so that a wrong guess is mended.
+func (u *upstream) roomLocked(now time.Time) int {
+	if u.room == 0 {
+		return 0
+	}
+	return u.room + int(now.Sub(u.roomAt)/roomGrowth)
+}
+
 // heard notes a sign of life. It reports whether the upstream was silent.
 func (u *upstream) heard(time.Time) bool {
 	u.mu.Lock()
@@ -221,7 +252,7 @@
 			u.ended = slices.Delete(u.ended, 0, extra)
 		}
 	}
-	u.known, u.start, u.leaving, u.work = true, c.Start, false, 0
+	u.known, u.start, u.leaving, u.work, u.room = true, c.Start, false, 0, 0
 }
 
 // CheckIn takes what the upstream reports. It returns ErrCheckIn if the report is about another one.
--- a/internal/front/streamer/agent.go
+++ b/internal/front/streamer/agent.go
@@ -27,7 +27,7 @@
 // Admitter decides about packets at an agent.
 type Admitter interface {
 	FromEntry(now time.Time, entry netip.AddrPort, h carrier.HopHeader, s *carrier.Segment, packet []byte) admitter.Action
-	FromUpstream(now time.Time, s *carrier.Segment) admitter.Action
+	FromUpstream(now time.Time, s *carrier.Segment, notRun bool) admitter.Action
 	Tick(now time.Time) []admitter.Overdue
 	Report(now time.Time) carrier.LoadReport
 	Changes() uint64
@@ -184,7 +184,7 @@
 		return
 	}
 	before := a.Admitter.Changes()
-	act := a.Admitter.FromUpstream(time.Now(), &b.segment)
+	act := a.Admitter.FromUpstream(time.Now(), &b.segment, a.Codec.NotRun(b.segment.Payload))
 	a.carryOut(act, &b.segment, packet)
 	if a.Admitter.Changes() != before {
 		a.Notify()
--- a/internal/front/streamer/streamer.go
+++ b/internal/front/streamer/streamer.go
@@ -31,6 +31,8 @@
 	ClearReturned(packet []byte)
 	// RequestID returns the id of the request that begins in a payload; empty if there is none.
 	RequestID(payload []byte) string
+	// NotRun reports whether an answer that begins in a payload says that the upstream had no room for the request.
+	NotRun(payload []byte) bool
 }
 
 // Observer is told about decisions. It is called for each of them, so it must not wait.
