--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -3,7 +3,6 @@
 package claimer
 
 import (
-	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -74,10 +73,13 @@
 	Number uint64
 }
 
+// Header holds the fields of an answer by their canonical names.
+type Header = map[string][]string
+
 // Answer is a whole answer of an upstream.
 type Answer struct {
 	Status int
-	Header http.Header
+	Header Header
 	Body   []byte
 }
 
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -56,11 +56,14 @@
 	Claimed
 )
 
+// safeMethods change nothing at the upstream (RFC 9110, section 9.2.1).
+var safeMethods = []string{"GET", "HEAD", "OPTIONS"}
+
 // ClassOf returns the class of a request. PUT and DELETE are idempotent by RFC 9110, section 9.2.2, but a late repetition
 // may undo a newer request, so they are not retried either.
 func ClassOf(method, key string) Class {
 	switch {
-	case method == http.MethodGet, method == http.MethodHead, method == http.MethodOptions:
+	case slices.Contains(safeMethods, method):
 		return Safe
 	case key == "":
 		return Once
