--- a/internal/admit/admitter/admitter.go
+++ b/internal/admit/admitter/admitter.go
@@ -254,7 +254,7 @@
 	if seg.Has(carrier.Returned) {
 		return a.bounced(now, seg)
 	}
-	if a.upstream.heard(now) {
+	if a.upstream.heard() {
 		a.changes.Add(1)
 	}
 	f := seg.ReverseFlow()
@@ -313,7 +313,7 @@
 		delete(sh.flows, f)
 		return returned(fl, carrier.ReturnRefused)
 	}
-	if fl.phase == held && a.upstream.lostFlow(now) {
+	if fl.phase == held && a.upstream.lostFlow() {
 		a.changes.Add(1)
 	}
 	a.release(fl)
--- a/internal/admit/admitter/upstream.go
+++ b/internal/admit/admitter/upstream.go
@@ -159,7 +159,7 @@
 }
 
 // heard notes a sign of life. It reports whether the upstream was silent.
-func (u *upstream) heard(time.Time) bool {
+func (u *upstream) heard() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	was := !u.silentSince.IsZero()
@@ -180,7 +180,7 @@
 
 // lostFlow notes that the upstream does not hold a flow that it had accepted: it has started again. It reports whether this is
 // news.
-func (u *upstream) lostFlow(time.Time) bool {
+func (u *upstream) lostFlow() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	was := u.suspect
--- a/internal/front/administrator/orders.go
+++ b/internal/front/administrator/orders.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotstage/peridotstage/internal/control/planner"
+	"github.com/peridotstage/peridotstage/internal/front/connector"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -93,7 +94,7 @@
 		if !eris.Is(err, errStaleOrder) {
 			return err
 		}
-		if !pause(ctx, currentInterval) {
+		if !connector.Pause(ctx, currentInterval) {
 			return eris.Wrap(ErrUnavailable, "the zone is being switched")
 		}
 	}
@@ -102,17 +103,6 @@
 // errStaleOrder means that a zone was switched since the order was proposed.
 var errStaleOrder = eris.New("zone was switched meanwhile")
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // propose writes a command to the log and returns its result.
 func (o *Orders) propose(ctx context.Context, c planner.Command) (planner.Result, error) {
 	var r planner.Result
--- a/internal/front/connector/peers.go
+++ b/internal/front/connector/peers.go
@@ -177,14 +177,15 @@
 				return
 			}
 			p.report(b, err)
-			if err != nil && !pause(ctx, deliverRetry) {
+			if err != nil && !Pause(ctx, deliverRetry) {
 				return
 			}
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
+// Pause waits for d. It returns false if ctx ends before.
+func Pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/front/streamer/entry.go
+++ b/internal/front/streamer/entry.go
@@ -121,7 +121,7 @@
 		e.callers.Send(caller, e.Codec.AppendReset(nil, &b.segment))
 	default:
 		e.Observer.Dropped(string(d.Reason))
-		if d.Reason != steerer.ReasonUseless {
+		if d.Reason != steerer.ReasonSuperseded {
 			e.log(recorder.PacketDropped, &b.segment, d)
 		}
 	}
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -50,9 +50,9 @@
 	ReasonNoRoute    Reason = "no_route"
 	ReasonNoUpstream Reason = "no_upstream"
 	// ReasonNoRoom means that every upstream that was asked has no room for now. A copy of the packet may find some.
-	ReasonNoRoom  Reason = "no_room"
-	ReasonNoFlow  Reason = "no_flow"
-	ReasonUseless Reason = "useless"
+	ReasonNoRoom     Reason = "no_room"
+	ReasonNoFlow     Reason = "no_flow"
+	ReasonSuperseded Reason = "superseded"
 )
 
 // Decision says what to do with a packet.
@@ -114,12 +114,9 @@
 
 // FromCaller decides about a packet of a caller.
 func (s *Steerer) FromCaller(now time.Time, seg *carrier.Segment) Decision {
-	if !s.Lease.Valid(now) {
-		return Decision{Reason: ReasonNoLease}
-	}
-	route, ok := s.World.Route(seg.To)
+	route, ok, refusal := s.routeOf(now, seg)
 	if !ok {
-		return s.unrouted(seg)
+		return refusal
 	}
 	flow := seg.Flow()
 	h := flowHash(flow)
@@ -137,6 +134,17 @@
 	return Decision{Verb: Pass, Reason: ReasonKnown, To: rec.member.address, Header: rec.member.passHeader()}
 }
 
+// routeOf returns the route of a packet, or what happens to the packet without one.
+func (s *Steerer) routeOf(now time.Time, seg *carrier.Segment) (r registrar.Route, ok bool, refusal Decision) {
+	if !s.Lease.Valid(now) {
+		return r, false, Decision{Reason: ReasonNoLease}
+	}
+	if r, ok = s.World.Route(seg.To); !ok {
+		return r, false, s.unrouted(seg)
+	}
+	return r, true, Decision{}
+}
+
 // unrouted handles a packet to an address without a route. A packet that opens no flow may belong to one that is open at a
 // route which this entry does not know yet, so only opening packets are reset.
 func (s *Steerer) unrouted(seg *carrier.Segment) Decision {
@@ -217,12 +225,9 @@
 
 // Returned decides about a packet that the agent at an address did not take.
 func (s *Steerer) Returned(now time.Time, from netip.AddrPort, header carrier.HopHeader, seg *carrier.Segment) Decision {
-	if !s.Lease.Valid(now) {
-		return Decision{Reason: ReasonNoLease}
-	}
-	route, ok := s.World.Route(seg.To)
+	route, ok, refusal := s.routeOf(now, seg)
 	if !ok {
-		return s.unrouted(seg)
+		return refusal
 	}
 	flow := seg.Flow()
 	h := flowHash(flow)
@@ -249,7 +254,7 @@
 	rec := sh.flows[flow]
 	if rec == nil || rec.member.address != from {
 		// Another copy of the packet is under way.
-		return Decision{Reason: ReasonUseless}
+		return Decision{Reason: ReasonSuperseded}
 	}
 	rec.member.load.refused(now, reason)
 	tried := append(rec.tried, rec.member.id)
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -160,7 +160,7 @@
 	require.Equal(t, Drop, d.Verb)
 	// A late return of another copy changes nothing.
 	d = s.Returned(start, agentAddress(1), carrier.HopHeader{Reason: carrier.ReturnClosed}, packet(1, carrier.Open, 0))
-	require.Equal(t, ReasonUseless, d.Reason)
+	require.Equal(t, ReasonSuperseded, d.Reason)
 }
 
 // TestColdUpstream guards against more new flows for a cold upstream than its report allows, before the next report comes.
--- a/internal/route/steerer/view.go
+++ b/internal/route/steerer/view.go
@@ -99,7 +99,7 @@
 			names = append(names, t.Service)
 		}
 	}
-	var mute []*member
+	var unheard []*member
 	for _, name := range names {
 		f := v.fleets[name]
 		if f == nil {
@@ -110,10 +110,10 @@
 			return ranked[step]
 		}
 		step -= len(ranked)
-		mute = append(mute, f.ranked(h, func(m *member) bool { return !m.silent && !m.reporting(now) })...)
+		unheard = append(unheard, f.ranked(h, func(m *member) bool { return !m.silent && !m.reporting(now) })...)
 	}
-	if step < len(mute) {
-		return mute[step]
+	if step < len(unheard) {
+		return unheard[step]
 	}
 	return nil
 }
