--- a/internal/cli/runner/open_control.go
+++ b/internal/cli/runner/open_control.go
@@ -60,7 +60,7 @@
 	g.run(r.run)
 	g.run(u.run)
 	g.run(reload.run)
-	g.run(e.Run)
+	g.run(serveMetrics(e, rec))
 	rec.Info(recorder.MachineStarted)
 	return g.wait()
 }
--- a/internal/cli/runner/stream.go
+++ b/internal/cli/runner/stream.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"errors"
 	"net/netip"
 	"sync"
@@ -30,6 +31,16 @@
 	return n, nil
 }
 
+// serveMetrics returns a function that serves metrics. The traffic does not depend on them, so a role goes on without.
+func serveMetrics(e *exporter.Exporter, rec *recorder.Recorder) func(context.Context) error {
+	return func(ctx context.Context) error {
+		if err := e.Run(ctx); err != nil {
+			rec.Error(recorder.MetricsFailed, recorder.Err(err))
+		}
+		return nil
+	}
+}
+
 // dropCounter counts dropped packets by reason, under its own lock. The zero value is ready for use.
 type dropCounter struct {
 	mu    sync.Mutex
--- a/internal/cli/runner/stream_agent.go
+++ b/internal/cli/runner/stream_agent.go
@@ -72,7 +72,7 @@
 		front.Notify()
 	}
 	return lingering(ctx, n, rec, linger, stop, func() bool { return a.Flows() == 0 },
-		front.Run, reload.run, e.Run, serving(cfg.ReadyAddress, readyHandler(ready)),
+		front.Run, reload.run, serveMetrics(e, rec), serving(cfg.ReadyAddress, readyHandler(ready)),
 		serving(cfg.CheckInAddress, p.CheckIns(checkIns)))
 }
 
--- a/internal/cli/runner/stream_entry.go
+++ b/internal/cli/runner/stream_entry.go
@@ -62,7 +62,7 @@
 	linger.set(cfg.Linger)
 	reload.setters = setters[parser.StreamEntry]{"linger": func(cfg parser.StreamEntry) { linger.set(cfg.Linger) }}
 	return lingering(ctx, n, rec, linger, func() {}, func() bool { return false },
-		front.Run, reload.run, e.Run, serving(cfg.ReadyAddress, readyHandler(ready)))
+		front.Run, reload.run, serveMetrics(e, rec), serving(cfg.ReadyAddress, readyHandler(ready)))
 }
 
 // serving returns a function that serves a handler at an address.
--- a/internal/report/recorder/stream.go
+++ b/internal/report/recorder/stream.go
@@ -24,6 +24,7 @@
 	CheckInRefused  = Event{5306, "check-in refused"}
 	OrderTaken      = Event{4401, "order taken"}
 	OrderRefused    = Event{4402, "order refused"}
+	MetricsFailed   = Event{1109, "metrics cannot be served"}
 	TrustedNetwork  = Event{1108, "network is trusted: connections and datagrams carry no keys"}
 )
 
