--- a/internal/cli/runner/zone_test.go
+++ b/internal/cli/runner/zone_test.go
@@ -132,6 +132,8 @@
 		conn := caller.Connection()
 		_, err := caller.Get("/stock", enforceLimit)
 		require.Error(t, err)
+		// The request may fail a moment before the connection's context ends.
+		require.Eventually(t, func() bool { return conn.Err() != nil }, enforceLimit, deployer.PollTime, "%v", err)
 		require.ErrorAs(t, context.Cause(conn), &reset, "%v", err)
 		_, err = caller.Get("/stock", enforceLimit)
 		require.NoError(t, err)
