Handle a failed disk, a returned packet and the idle time in one place each

Found by reading the change again: the driver's loop reopened the disk in two places, the agent built returned packets in two, and entries and agents each had the default idle time of flows. Behaviour stays as it is; the tests keep their assertions.

--- a/internal/admit/admitter/admitter.go
+++ b/internal/admit/admitter/admitter.go
@@ -25,8 +25,6 @@
 	absentTime = 2 * time.Second
 	// closedTime is how long an ended flow is remembered for late packets.
 	closedTime = 5 * time.Second
-	// defaultIdle is how long a flow may carry nothing before it is forgotten, if the configuration does not say so.
-	defaultIdle = 15 * time.Second
 )
 
 // Verb says what happens to a packet.
@@ -330,7 +328,7 @@
 // Tick returns the opening packets that another upstream should get, and forgets flows that have ended.
 func (a *Admitter) Tick(now time.Time) []Overdue {
 	var all []Overdue
-	idle := defaultIdle
+	idle := registrar.DefaultIdle
 	if v := a.idle.Load(); v > 0 {
 		idle = time.Duration(v)
 	}
@@ -402,7 +400,7 @@
 
 // Update takes a new configuration.
 func (a *Admitter) Update(w *registrar.World) {
-	a.idle.Store(int64(time.Duration(w.Release().IdleTimeout) * time.Millisecond))
+	a.idle.Store(int64(w.Release().Idle()))
 	z, known := w.Zone(a.Zone)
 	service, _ := w.Service(a.Service)
 	a.upstream.configure(known && z.Withdrawn, service.ColdRate)
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -146,11 +146,7 @@
 	defer ticker.Stop()
 	// A sole voter founds its log with the first tick and leads with the second.
 	for range 2 {
-		err := d.handle(replicator.Tick{})
-		if eris.Is(err, errDisk) {
-			err = d.reopen(ctx, err)
-		}
-		if err != nil {
+		if err := d.handleOrReopen(ctx, replicator.Tick{}); err != nil {
 			return err
 		}
 	}
@@ -163,16 +159,21 @@
 			ev = replicator.Tick{}
 		case ev = <-d.events:
 		}
-		err := d.handle(ev)
-		if eris.Is(err, errDisk) {
-			err = d.reopen(ctx, err)
-		}
-		if err != nil {
+		if err := d.handleOrReopen(ctx, ev); err != nil {
 			return err
 		}
 	}
 }
 
+// handleOrReopen handles an event, and starts again from the disk if that does not take a write.
+func (d *Driver) handleOrReopen(ctx context.Context, ev replicator.Event) error {
+	err := d.handle(ev)
+	if eris.Is(err, errDisk) {
+		return d.reopen(ctx, err)
+	}
+	return err
+}
+
 // handle takes an event and those that wait behind it, so that they share one write to the disk.
 func (d *Driver) handle(ev replicator.Event) error {
 	for n := 0; ; n++ {
--- a/internal/front/streamer/agent.go
+++ b/internal/front/streamer/agent.go
@@ -120,13 +120,18 @@
 		if a.Codec.Decode(o.Packet, &s) != nil {
 			continue
 		}
-		a.logReturn(&s, o.Action)
-		b := make([]byte, encoder.HopHeaderSize, encoder.HopHeaderSize+len(o.Packet))
-		encoder.PutHop(b, o.Header)
-		a.data.Send(o.Entry, append(b, o.Packet...))
+		a.sendBack(o.Action, &s, o.Packet)
 	}
 }
 
+// sendBack returns a packet to the entry that passed it on.
+func (a *Agent) sendBack(act admitter.Action, s *carrier.Segment, packet []byte) {
+	b := make([]byte, encoder.HopHeaderSize, encoder.HopHeaderSize+len(packet))
+	encoder.PutHop(b, act.Header)
+	a.data.Send(act.Entry, append(b, packet...))
+	a.logReturn(s, act)
+}
+
 func (a *Agent) sendReports(now time.Time) {
 	b := encoder.AppendReport(nil, a.Admitter.Report(now))
 	a.mu.Lock()
@@ -199,10 +204,7 @@
 		a.data.Send(netip.AddrPortFrom(s.To.Addr(), a.CallerPort), packet)
 	case admitter.Return:
 		a.Codec.ClearReturned(packet)
-		b := make([]byte, encoder.HopHeaderSize, encoder.HopHeaderSize+len(packet))
-		encoder.PutHop(b, act.Header)
-		a.data.Send(act.Entry, append(b, packet...))
-		a.logReturn(s, act)
+		a.sendBack(act, s, packet)
 	default:
 		a.Observer.Dropped("unneeded")
 	}
--- a/internal/route/steerer/load.go
+++ b/internal/route/steerer/load.go
@@ -43,7 +43,7 @@
 }
 
 // refused notes that the agent did not take a flow although its report let this entry expect so.
-func (l *load) refused(now time.Time, reason carrier.ReturnReason) {
+func (l *load) refused(reason carrier.ReturnReason) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch reason {
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -22,8 +22,6 @@
 	maxSearch = 32
 	// maxPlacements bounds the agents that one copy of an opening packet is offered to.
 	maxPlacements = 6
-	// DefaultIdle is how long a flow may carry nothing before it is forgotten, if the configuration does not say so.
-	DefaultIdle = 15 * time.Second
 )
 
 // Verb says what happens to a packet.
@@ -256,7 +254,7 @@
 		// Another copy of the packet is under way.
 		return Decision{Reason: ReasonSuperseded}
 	}
-	rec.member.load.refused(now, reason)
+	rec.member.load.refused(reason)
 	tried := append(rec.tried, rec.member.id)
 	if len(tried) >= maxPlacements {
 		s.forget(sh, flow)
@@ -332,10 +330,7 @@
 
 // Expire forgets the flows that have carried nothing for the idle time of the configuration.
 func (s *Steerer) Expire(now time.Time) {
-	idle := DefaultIdle
-	if ms := s.World.Release().IdleTimeout; ms > 0 {
-		idle = time.Duration(ms) * time.Millisecond
-	}
+	idle := s.World.Release().Idle()
 	for i := range s.shards {
 		sh := &s.shards[i]
 		sh.mu.Lock()
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -295,9 +295,9 @@
 	s := newSite(t, 1, 0)
 	s.report(start, 1, 0)
 	s.FromCaller(start, packet(1, carrier.Open, 0))
-	s.Expire(start.Add(DefaultIdle))
+	s.Expire(start.Add(registrar.DefaultIdle))
 	require.Equal(t, 1, s.Flows())
-	s.Expire(start.Add(DefaultIdle + time.Millisecond))
+	s.Expire(start.Add(registrar.DefaultIdle + time.Millisecond))
 	require.Zero(t, s.Flows())
 }
 
--- a/internal/world/registrar/route.go
+++ b/internal/world/registrar/route.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -76,6 +77,17 @@
 	IdleTimeout Millis `json:"idle_timeout_ms,omitempty"`
 }
 
+// DefaultIdle is the idle time of stream flows if the configuration does not say one.
+const DefaultIdle = 15 * time.Second
+
+// Idle returns how long a stream flow may carry nothing before it may be forgotten.
+func (r Release) Idle() time.Duration {
+	if r.IdleTimeout == 0 {
+		return DefaultIdle
+	}
+	return time.Duration(r.IdleTimeout) * time.Millisecond
+}
+
 const routeShardCount = 16
 
 // routeShard holds routes by address.
