--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -56,6 +56,8 @@
 	// instance takes calls.
 	OpenMembership bool
 	Address        netip.AddrPort
+	// Volatile says that Folder is lost when the process ends.
+	Volatile bool
 	// Joining forbids founding a log, because one exists already.
 	Joining   bool
 	Machine   StateMachine
@@ -96,6 +98,7 @@
 	}
 	d.replica.Self, d.replica.Name, d.replica.Known = d.store.id, d.Name, d.Members
 	d.replica.Open, d.replica.Joining, d.replica.Address = d.OpenMembership, d.Joining, d.Address
+	d.replica.Volatile = d.Volatile
 	d.replica.Rand, d.replica.Keep = &source{}, replicator.DefaultKeep
 	d.applier = applier{driver: d, applied: st.Snapshot.Index, saved: st.Snapshot.Index, members: st.Snapshot.Members}
 	d.applier.wake = make(chan struct{}, 1)
--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -71,8 +71,8 @@
 		return Outcome{}
 	}
 	voters := e.Electorate.Voters()
-	// A sole voter has nobody to wait for.
-	sole := len(voters) == 1 && voters[0] == e.Self
+	// A sole voter has nobody to wait for but a leader that it has promised to follow before the others lost their votes.
+	sole := len(voters) == 1 && voters[0] == e.Self && !now.Before(e.stickyUntil)
 	if now.Before(e.electAt) && !sole {
 		return Outcome{}
 	}
--- a/internal/control/elector/elector_test.go
+++ b/internal/control/elector/elector_test.go
@@ -215,3 +215,22 @@
 	require.NotEqual(t, elector.Leader, role)
 	require.Equal(t, term, m.ballots[leader].Term, "a member without a majority raises its term")
 }
+
+// TestSoleVoterKeepsPromise guards against two leaders with a lease when a group shrinks to one voter: the leader that has just
+// lost its vote may rely on that voter for MinElection, also after a restart.
+func TestSoleVoterKeepsPromise(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		now := time.Unix(1000, 0)
+		sole := &elector.Elector{
+			Self: 2, Electorate: voters{2}, Journal: &journal{}, Rand: rand.New(rand.NewPCG(1, 1)),
+		}
+		sole.Start(now, elector.Ballot{Term: 3})
+		now = now.Add(elector.MinElection)
+		if _, out := sole.Hear(now, 1, 3); restart {
+			require.False(t, out.Elected)
+			sole.Start(now, sole.Ballot())
+		}
+		require.False(t, sole.Tick(now.Add(elector.MinElection-time.Millisecond)).Elected, "restart %t", restart)
+		require.True(t, sole.Tick(now.Add(elector.MinElection)).Elected, "restart %t", restart)
+	}
+}
--- a/internal/control/replicator/founding.go
+++ b/internal/control/replicator/founding.go
@@ -27,6 +27,8 @@
 	// term is the term of its ballot; 0 if the disk holds nothing but the identity.
 	term Term
 	at   time.Time
+	// volatile is true if the instance keeps nothing when its process ends.
+	volatile bool
 }
 
 // blank reports whether the disk holds nothing but the identity.
@@ -51,7 +53,7 @@
 // an entry that took in a learner can be lost with its leader. A leader ignores members that it knows.
 func (r *Replica) seek(now time.Time) {
 	r.joinAt = now.Add(joinInterval)
-	r.broadcast(Join{})
+	r.broadcast(Join{Volatile: r.Volatile})
 	if r.Joining || r.founder() != r.Name || !r.blank() && !r.foundedAlone() {
 		return
 	}
@@ -69,11 +71,17 @@
 	if !r.Open {
 		return
 	}
-	// The seeds of the settings may be gone since the log was founded.
+	// The seeds of the settings may be gone since the log was founded, and seeds without a disk know only who calls them.
+	others := r.heard.names()
 	members, _ := r.log.Members()
 	for _, m := range members {
-		if _, known := r.Known[m.Name]; !known && m.Name != r.Name {
-			r.send(Member{Name: m.Name, Address: m.Address}, b)
+		r.heard.put(m.Name, m.Address)
+		others = append(others, m.Name)
+	}
+	slices.Sort(others)
+	for _, n := range slices.Compact(others) {
+		if _, known := r.Known[n]; !known && n != r.Name {
+			r.send(Member{Name: n}, b)
 		}
 	}
 }
@@ -93,7 +101,9 @@
 	case Probe:
 		// Settings that name another founder must not lead to a second log.
 		unwritten := r.unwritten() && r.founder() == m.Sender
-		r.send(Member{Name: m.Sender}, ProbeAnswer{Empty: unwritten && r.blank(), Unwritten: unwritten})
+		r.send(Member{Name: m.Sender}, ProbeAnswer{
+			Empty: unwritten && r.blank(), Unwritten: unwritten, Volatile: r.Volatile,
+		})
 		if b.Unsafe && unwritten && !r.blank() {
 			r.effects.Failure = ErrFounding
 		}
@@ -103,7 +113,7 @@
 		}
 		delete(r.empty, m.Sender)
 		if b.Empty || b.Unwritten {
-			r.empty[m.Sender] = probed{id: m.From, term: m.Term, at: now}
+			r.empty[m.Sender] = probed{id: m.From, term: m.Term, at: now, volatile: b.Volatile}
 		}
 	}
 }
@@ -133,13 +143,13 @@
 // all have said lately that they have no log.
 func (r *Replica) founders(now time.Time) (members Members, newest Term, voted int) {
 	for _, n := range r.names() {
-		m := Member{ID: r.Self, Name: n, Address: r.Known[n], Voter: true}
+		m := Member{ID: r.Self, Name: n, Address: r.Known[n], Voter: true, Volatile: r.Volatile}
 		if n != r.Name {
 			p, ok := r.empty[n]
 			if !ok || now.Sub(p.at) > probeTime {
 				return nil, 0, 0
 			}
-			m.ID, newest = p.id, max(newest, p.term)
+			m.ID, m.Volatile, newest = p.id, p.volatile, max(newest, p.term)
 			if p.term > 0 {
 				voted++
 			}
--- a/internal/control/replicator/membership.go
+++ b/internal/control/replicator/membership.go
@@ -130,11 +130,11 @@
 	next := slices.Clone(members)
 	switch {
 	case learner >= 0:
-		next[learner].ID = m.ID
+		next[learner].ID, next[learner].Volatile = m.ID, m.Volatile
 	case voter >= 0:
-		next = append(next, Member{ID: m.ID, Name: m.Name, Address: next[voter].Address, Returning: true})
+		next = append(next, Member{ID: m.ID, Name: m.Name, Address: next[voter].Address, Returning: true, Volatile: m.Volatile})
 	case r.Open && len(next) < maxOpenMembers:
-		next = append(next, Member{ID: m.ID, Name: m.Name, Address: m.Address, Returning: true})
+		next = append(next, Member{ID: m.ID, Name: m.Name, Address: m.Address, Returning: true, Volatile: m.Volatile})
 	default:
 		return
 	}
@@ -154,7 +154,7 @@
 			return
 		}
 	}
-	if r.Open {
+	if r.Open && !r.demote(now, members) {
 		r.dropGone(now, members)
 	}
 }
@@ -170,6 +170,8 @@
 		return false
 	case lost >= 0:
 		next = slices.Delete(next, lost, lost+1)
+	case members[i].Volatile && r.volatiles(members).durable:
+		return false
 	case r.Open && r.replaceable(now, members) == undecided:
 		return false
 	case r.Open && r.replaceable(now, members) >= 0:
--- a/internal/control/replicator/message.go
+++ b/internal/control/replicator/message.go
@@ -31,6 +31,8 @@
 	Voter   bool                  `json:"voter"`
 	// Returning is true for a learner that takes the place of a voter of the same name, whose disk was lost.
 	Returning bool `json:"returning,omitempty"`
+	// Volatile is true for an instance that keeps nothing when its process ends. It votes only while no other can.
+	Volatile bool `json:"volatile,omitempty"`
 }
 
 // Members is the membership, sorted by name and id.
@@ -124,6 +126,8 @@
 
 // Join asks the leader to take in an instance that has no place in the log.
 type Join struct {
+	// Volatile says that the sender keeps nothing when its process ends.
+	Volatile bool
 	// Relayed is set if another instance passes the request on.
 	Relayed *Member
 }
@@ -140,6 +144,8 @@
 	Empty bool
 	// Unwritten is true if the log has never had an entry, although there may be a ballot.
 	Unwritten bool
+	// Volatile says that the sender keeps nothing when its process ends.
+	Volatile bool
 }
 
 func (VoteRequest) body()   {}
--- a/internal/control/replicator/network_test.go
+++ b/internal/control/replicator/network_test.go
@@ -48,6 +48,8 @@
 	value   string
 	// joining is true once the group has been founded.
 	joining bool
+	// volatile is true if the member keeps nothing when it ends.
+	volatile bool
 	// failure is why the member has ended; nil if it has not.
 	failure error
 }
@@ -140,6 +142,7 @@
 	m.replica = &replicator.Replica{Self: m.disk.id, Name: m.name, Known: w.known(), Rand: w.rng, Keep: 5}
 	if w.seeds != nil {
 		m.replica.Open, m.replica.Joining, m.replica.Address = true, m.joining, addressOf(m.name)
+		m.replica.Volatile = m.volatile
 	}
 	m.applied, m.members, m.value = m.disk.snapshot.Index, m.disk.snapshot.Members, string(m.disk.snapshot.State)
 	require.NoError(w.t, m.replica.Start(w.now, replicator.State{
--- a/internal/control/replicator/opening.go
+++ b/internal/control/replicator/opening.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -11,8 +12,9 @@
 )
 
 const (
-	// maxOpenMembers bounds the members, learners included, that join without an operator.
-	maxOpenMembers = 2 * maxVoters
+	// maxOpenMembers bounds the members, learners included, that join without an operator. The leader sends a heartbeat to each
+	// of them every heartbeatInterval.
+	maxOpenMembers = 64
 	// suspectTime is how long a voter may be silent before a newcomer waits to see whether it has come to replace the voter.
 	suspectTime = 500 * time.Millisecond
 	// replaceTime is how long a voter may be silent before a newcomer takes its place, or before an even group goes on without
@@ -47,10 +49,17 @@
 	return b.addresses[name]
 }
 
+// names returns the instances that the book has, in no order.
+func (b *addressBook) names() []registrar.MachineName {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return slices.Collect(maps.Keys(b.addresses))
+}
+
 // takeJoin handles a request to join. An instance that does not lead passes it on, because the newcomer may know only
 // instances that do not lead.
 func (r *Replica) takeJoin(m Message, b Join) {
-	newcomer := Member{ID: m.From, Name: m.Sender, Address: m.Address}
+	newcomer := Member{ID: m.From, Name: m.Sender, Address: m.Address, Volatile: b.Volatile}
 	if b.Relayed != nil {
 		newcomer = *b.Relayed
 	}
@@ -115,3 +124,52 @@
 		}
 	}
 }
+
+// volatiles is where the members stand that keep nothing when their processes end.
+type volatiles struct {
+	// voter is the index of one that votes, another than the leader if there is one; -1 if none does.
+	voter int
+	// durable is true if a member keeps what it stores, and durableVoter if one of those votes.
+	durable, durableVoter bool
+}
+
+func (r *Replica) volatiles(members Members) volatiles {
+	v := volatiles{voter: -1}
+	for i, m := range members {
+		switch {
+		case !m.Volatile:
+			v.durable, v.durableVoter = true, v.durableVoter || m.Voter
+		case m.Voter && (v.voter < 0 || m.ID != r.Self):
+			v.voter = i
+		}
+	}
+	return v
+}
+
+// durable reports whether what the voters confirm outlasts their processes, or whether no instance could do better. At the
+// start one that could may not have joined yet.
+func (r *Replica) durable(now time.Time) bool {
+	members, _ := r.log.Members()
+	v := r.volatiles(members)
+	return v.voter < 0 || !v.durable && now.Sub(r.startedAt) > joinTime
+}
+
+// demote takes the vote of an instance that keeps nothing, once one that keeps what it stores votes and has caught up. It
+// reports whether it has written a change.
+func (r *Replica) demote(now time.Time, members Members) bool {
+	v := r.volatiles(members)
+	if v.voter < 0 || !v.durableVoter || !r.durableCaughtUp(now, members) {
+		return false
+	}
+	next := slices.Clone(members)
+	next[v.voter].Voter, next[v.voter].Returning = false, true
+	r.setMembers(next)
+	return true
+}
+
+// durableCaughtUp reports whether a durable voter, this leader or another, holds nearly all entries.
+func (r *Replica) durableCaughtUp(now time.Time, members Members) bool {
+	return slices.ContainsFunc(members, func(m Member) bool {
+		return m.Voter && !m.Volatile && (m.ID == r.Self || r.hasCaughtUp(now, m))
+	})
+}
--- a/internal/control/replicator/opening_test.go
+++ b/internal/control/replicator/opening_test.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// requireService checks that the group confirms a proposal.
+func (w *network) requireService() {
+	before := len(w.confirmed)
+	for _, m := range w.members {
+		w.propose(m)
+	}
+	w.run(time.Second)
+	require.Greater(w.t, len(w.confirmed), before)
+}
+
 // bearsLoss reports whether every instance has a vote, and the group goes on when any further one is lost. A voter that is
 // gone may stay if the group bears a loss all the same.
 func (w *network) bearsLoss() bool {
@@ -111,12 +121,7 @@
 			// Whichever instance is lost next, the others go on.
 			w.remove(w.members[0])
 			w.run(2 * time.Second)
-			before := len(w.confirmed)
-			for _, m := range w.members {
-				w.propose(m)
-			}
-			w.run(time.Second)
-			require.Greater(t, len(w.confirmed), before)
+			w.requireService()
 		})
 	}
 }
@@ -170,6 +175,85 @@
 	})
 }
 
+// newMixedNetwork starts an open group of n instances, those with the given numbers volatile.
+func newMixedNetwork(t require.TestingT, seed uint64, n int, volatile ...int) *network {
+	w := newNetwork(t, seed, n)
+	for _, i := range volatile {
+		w.members[i].volatile = true
+	}
+	for _, m := range w.members[:min(n, 3)] {
+		w.seeds = append(w.seeds, m.name)
+	}
+	for _, m := range w.members {
+		w.boot(m)
+	}
+	return w
+}
+
+// restartAll makes all members lose power. Those that are volatile come back with nothing.
+func (w *network) restartAll() {
+	for _, m := range w.members {
+		if m.volatile {
+			w.wipe(m)
+		} else {
+			m.joining = true
+			w.boot(m)
+		}
+	}
+}
+
+// TestVolatileInstances guards against instances without a disk that keep a vote beside instances that have one: what they
+// confirm would be lost with their processes. Whichever of them are seeds, the group is founded, and after a loss of power
+// of all it goes on with all that it has confirmed.
+func TestVolatileInstances(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		members  int
+		volatile []int
+	}{
+		{name: "one seed, the founder", members: 6, volatile: []int{0}},
+		{name: "two seeds", members: 6, volatile: []int{1, 2}},
+		{name: "all seeds", members: 6, volatile: []int{0, 1, 2}},
+		{name: "no seed", members: 6, volatile: []int{3, 4, 5}},
+		{name: "one durable instance", members: 4, volatile: []int{0, 1, 2}},
+		{name: "a single volatile seed", members: 2, volatile: []int{0}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				w := newMixedNetwork(t, seed, tc.members, tc.volatile...)
+				for range 60 {
+					w.propose(w.members[w.rng.IntN(len(w.members))])
+					w.run(time.Duration(w.rng.Int64N(int64(150 * time.Millisecond))))
+				}
+				w.run(4 * time.Second)
+				require.NotEmpty(t, w.confirmed, "seed %d", seed)
+				for _, c := range w.committed {
+					require.NotEqual(t, w.find(c.Name).volatile, c.Voter, "seed %d: %v", seed, w.committed)
+				}
+				require.Len(t, w.committed, len(w.members))
+				w.restartAll()
+				w.run(6 * time.Second)
+				w.requireService()
+				require.True(t, porcupine.CheckOperations(registerModel, w.operations), "seed %d: a confirmed value is lost", seed)
+			}
+		})
+	}
+}
+
+// TestVolatileOnly guards that instances none of which has a disk serve together, and bear the restart of one.
+func TestVolatileOnly(t *testing.T) {
+	w := newMixedNetwork(t, 1, 3, 0, 1, 2)
+	w.run(7 * time.Second)
+	require.True(t, w.healthy(), "%v", w.committed)
+	for _, m := range w.members {
+		w.wipe(m)
+		w.run(5 * time.Second)
+		require.True(t, w.healthy(), "%v", w.committed)
+		w.requireService()
+	}
+	require.True(t, porcupine.CheckOperations(registerModel, w.operations))
+}
+
 // TestElectionAfterPowerLoss guards against a group that is long without a leader after all of its members have lost power:
 // whoever asks for votes too early must ask again soon. The target is twice the shortest election timeout after a majority
 // is back, for 95 of 100 elections, since votes can be split by chance.
--- a/internal/control/replicator/replica.go
+++ b/internal/control/replicator/replica.go
@@ -57,6 +57,8 @@
 	Open bool
 	// Joining forbids founding a log, because one exists already.
 	Joining bool
+	// Volatile says that this instance keeps nothing when its process ends; used with Open.
+	Volatile bool
 	// Address is where this instance takes calls; used with Open.
 	Address netip.AddrPort
 	Rand    Rand
@@ -269,6 +271,8 @@
 		w.Err = ErrNotLeader
 	case r.log.Last().Index-r.commit >= maxUncommitted:
 		w.Err = eris.Wrap(ErrNotLeader, "no majority takes in entries")
+	case p.Change == nil && !r.durable(now):
+		w.Err = eris.Wrap(ErrNotLeader, "a voter would lose what it confirms when its process ends")
 	case p.Change != nil:
 		w.Position, w.Err = r.change(now, *p.Change)
 	default:
--- a/internal/report/recorder/stream.go
+++ b/internal/report/recorder/stream.go
@@ -25,7 +25,9 @@
 	OrderTaken      = Event{4401, "order taken"}
 	OrderRefused    = Event{4402, "order refused"}
 	MetricsFailed   = Event{1109, "metrics cannot be served"}
-	TrustedNetwork  = Event{1108, "network is trusted: connections and datagrams carry no keys"}
+	// VolatileInstance is logged at the start of a control instance without a data folder.
+	VolatileInstance = Event{1110, "instance keeps its state in a temporary folder and has no vote"}
+	TrustedNetwork   = Event{1108, "network is trusted: connections and datagrams carry no keys"}
 )
 
 // maxFlowLines bounds the lines about flows that a process writes in a second. A line takes some 300 bytes and 10 us.
--- a/internal/wire/encoder/consensus.go
+++ b/internal/wire/encoder/consensus.go
@@ -51,7 +51,9 @@
 	case replicator.Probe:
 		out.Body = &messenger.ConsensusMessage_Probe{Probe: &messenger.ProbeRequest{Unsafe: b.Unsafe}}
 	case replicator.ProbeAnswer:
-		out.Body = &messenger.ConsensusMessage_ProbeAnswer{ProbeAnswer: &messenger.ProbeAnswer{Empty: b.Empty, Unwritten: b.Unwritten}}
+		out.Body = &messenger.ConsensusMessage_ProbeAnswer{ProbeAnswer: &messenger.ProbeAnswer{
+			Empty: b.Empty, Unwritten: b.Unwritten, Volatile: b.Volatile,
+		}}
 	default:
 		return nil, ErrMessage
 	}
@@ -95,7 +97,9 @@
 	case *messenger.ConsensusMessage_Probe:
 		out.Body = replicator.Probe{Unsafe: b.Probe.GetUnsafe()}
 	case *messenger.ConsensusMessage_ProbeAnswer:
-		out.Body = replicator.ProbeAnswer{Empty: b.ProbeAnswer.GetEmpty(), Unwritten: b.ProbeAnswer.GetUnwritten()}
+		out.Body = replicator.ProbeAnswer{
+			Empty: b.ProbeAnswer.GetEmpty(), Unwritten: b.ProbeAnswer.GetUnwritten(), Volatile: b.ProbeAnswer.GetVolatile(),
+		}
 	default:
 		err = ErrMessage
 	}
@@ -104,16 +108,17 @@
 
 func joinToMessage(j replicator.Join) *messenger.JoinRequest {
 	if j.Relayed == nil {
-		return &messenger.JoinRequest{}
+		return &messenger.JoinRequest{Volatile: j.Volatile}
 	}
 	return &messenger.JoinRequest{
 		Name: string(j.Relayed.Name), Member: uint64(j.Relayed.ID), Address: j.Relayed.Address.String(),
+		Volatile: j.Relayed.Volatile,
 	}
 }
 
 func joinFromMessage(j *messenger.JoinRequest) (replicator.Join, error) {
 	if j.GetMember() == 0 {
-		return replicator.Join{}, nil
+		return replicator.Join{Volatile: j.GetVolatile()}, nil
 	}
 	address, err := netip.ParseAddrPort(j.GetAddress())
 	if err != nil {
@@ -121,6 +126,7 @@
 	}
 	return replicator.Join{Relayed: &replicator.Member{
 		ID: replicator.MemberID(j.GetMember()), Name: registrar.MachineName(j.GetName()), Address: address,
+		Volatile: j.GetVolatile(),
 	}}, nil
 }
 
