Keep the state of an instance without a disk in memory

They keep nothing beyond the process anyway: a storage that only draws an identity takes the place of the folder.

--- a/internal/cli/runner/open_control.go
+++ b/internal/cli/runner/open_control.go
@@ -3,13 +3,8 @@
 import (
 	"context"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"time"
 
-	"github.com/rotisserie/eris"
-	"go.uber.org/zap"
-
 	"github.com/peridotstage/peridotstage/internal/control/driver"
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/front/administrator"
@@ -35,19 +30,16 @@
 	reload := newReload(source, rec)
 	reload.setters = setters[parser.OpenControl]{}
 	name := controlName(cfg.ControlAddress)
-	folder, volatile, err := dataFolder(cfg.DataFolder, name)
-	if err != nil {
-		return err
-	}
+	volatile := cfg.DataFolder == ""
 	if volatile {
-		rec.Info(recorder.VolatileInstance, zap.String("folder", folder))
+		rec.Info(recorder.VolatileInstance)
 	}
 	seeds := map[registrar.MachineName]netip.AddrPort{}
 	for _, a := range cfg.Control() {
 		seeds[controlName(a)] = a
 	}
 	c := newControlCore(cfg.Host, &driver.Driver{
-		Name: name, Folder: folder, Volatile: volatile, Members: seeds, OpenMembership: true, Address: cfg.ControlAddress, Joining: !cfg.Founding,
+		Name: name, Folder: cfg.DataFolder, Volatile: volatile, Members: seeds, OpenMembership: true, Address: cfg.ControlAddress, Joining: !cfg.Founding,
 	}, nil, rec)
 	if err := c.log.Open(); err != nil {
 		return err
@@ -77,19 +69,6 @@
 	return g.wait()
 }
 
-// dataFolder returns where an instance keeps its state. One without a folder in its settings gets an empty temporary folder at
-// each start, and is volatile: the group must not rely on what it stores.
-func dataFolder(configured string, name registrar.MachineName) (folder string, volatile bool, err error) {
-	if configured != "" {
-		return configured, false, nil
-	}
-	folder = filepath.Join(os.TempDir(), "peridotstage-"+string(name))
-	if err := os.RemoveAll(folder); err != nil {
-		return "", false, eris.Wrap(err, "empty the temporary folder")
-	}
-	return folder, true, eris.Wrap(os.MkdirAll(folder, 0o700), "make a temporary folder")
-}
-
 // registration keeps an instance of an open group in the configuration, where nodes find it.
 type registration struct {
 	core    *controlCore
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -56,7 +56,7 @@
 	// instance takes calls.
 	OpenMembership bool
 	Address        netip.AddrPort
-	// Volatile says that Folder is lost when the process ends.
+	// Volatile says that the member keeps nothing when its process ends; Folder is not used then.
 	Volatile bool
 	// Joining forbids founding a log, because one exists already.
 	Joining   bool
@@ -70,7 +70,7 @@
 	SnapshotEntries replicator.Index
 
 	replica replicator.Replica
-	store   store
+	store   storage
 	events  chan replicator.Event
 	applier applier
 	waiters waiters
@@ -86,7 +86,10 @@
 	}
 	d.events = make(chan replicator.Event, eventQueue)
 	d.ended = make(chan struct{})
-	d.store.journal.Syncer = d.Syncer
+	d.store = &store{journal: journaler.Journal{Syncer: d.Syncer}}
+	if d.Volatile {
+		d.store = &volatileStore{}
+	}
 	st, err := d.store.open(d.Folder)
 	if err != nil {
 		return err
@@ -96,7 +99,7 @@
 			return eris.Wrap(err, "restore snapshot")
 		}
 	}
-	d.replica.Self, d.replica.Name, d.replica.Known = d.store.id, d.Name, d.Members
+	d.replica.Self, d.replica.Name, d.replica.Known = d.store.identity(), d.Name, d.Members
 	d.replica.Open, d.replica.Joining, d.replica.Address = d.OpenMembership, d.Joining, d.Address
 	d.replica.Volatile = d.Volatile
 	d.replica.Rand, d.replica.Keep = &source{}, replicator.DefaultKeep
@@ -105,7 +108,7 @@
 	if err := d.replica.Start(time.Now(), st); err != nil {
 		return err
 	}
-	d.Recorder.Info(recorder.LogOpened, zap.Uint64("member", uint64(d.store.id)),
+	d.Recorder.Info(recorder.LogOpened, zap.Uint64("member", uint64(d.store.identity())),
 		zap.Uint64("snapshot", uint64(st.Snapshot.Index)), zap.Int("entries", len(st.Entries)),
 		zap.Duration("duration", time.Since(start)))
 	return nil
--- a/internal/control/driver/propose.go
+++ b/internal/control/driver/propose.go
@@ -77,7 +77,7 @@
 		var result []byte
 		err := last
 		switch {
-		case known && leader.ID == d.store.id:
+		case known && leader.ID == d.store.identity():
 			result, err = d.ProposeHere(ctx, p)
 		case known:
 			result, err = d.forward(ctx, leader, p)
--- a/internal/control/driver/store.go
+++ b/internal/control/driver/store.go
@@ -69,16 +69,26 @@
 }
 
 func (s *store) createIdentity() error {
+	id, err := newIdentity()
+	if err != nil {
+		return err
+	}
+	s.id = id
+	return journaler.Save(filepath.Join(s.folder, identityFile), binary.BigEndian.AppendUint64(nil, uint64(id)))
+}
+
+func newIdentity() (replicator.MemberID, error) {
 	var b [8]byte
 	if _, err := rand.Read(b[:]); err != nil {
-		return eris.Wrap(err, "draw identity")
+		return 0, eris.Wrap(err, "draw identity")
 	}
 	// 0 stands for no member.
 	b[7] |= 1
-	s.id = replicator.MemberID(binary.BigEndian.Uint64(b[:]))
-	return journaler.Save(filepath.Join(s.folder, identityFile), b[:])
+	return replicator.MemberID(binary.BigEndian.Uint64(b[:])), nil
 }
 
+func (s *store) identity() replicator.MemberID { return s.id }
+
 func (s *store) load() (st replicator.State, err error) {
 	b, ok, err := journaler.Load(filepath.Join(s.folder, snapshotFile))
 	if err != nil {
--- a/internal/report/recorder/stream.go
+++ b/internal/report/recorder/stream.go
@@ -26,7 +26,7 @@
 	OrderRefused    = Event{4402, "order refused"}
 	MetricsFailed   = Event{1109, "metrics cannot be served"}
 	// VolatileInstance is logged at the start of a control instance without a data folder.
-	VolatileInstance = Event{1110, "instance keeps its state in a temporary folder and has no vote"}
+	VolatileInstance = Event{1110, "instance keeps its state in memory and has no vote"}
 	TrustedNetwork   = Event{1108, "network is trusted: connections and datagrams carry no keys"}
 )
 
--- a/internal/setting/parser/stream.go
+++ b/internal/setting/parser/stream.go
@@ -32,7 +32,7 @@
 	Host
 	Seeds
 	Founding        bool                                        `json:"founding" rule:"bool" default:"false" doc:"true only when the whole system starts for the first time: the seeds then found the control log"`
-	DataFolder      string                                      `json:"data_folder" rule:"file" default:"" doc:"folder of the durable state; without one the instance keeps its state in a temporary folder and has no vote"`
+	DataFolder      string                                      `json:"data_folder" rule:"file" default:"" doc:"folder of the durable state; without one the instance keeps its state in memory and has no vote"`
 	OperatorAddress netip.AddrPort                              `json:"operator_address" rule:"address" doc:"where operators are served over HTTP, in the form of the platform"`
 	Zones           map[registrar.ZoneName]registrar.RegionName `json:"zones" rule:"name" min:"1" max:"1000" doc:"region of each zone"`
 }
