Add a fault soak of the real programs on the platform

It starts control instances, entries and agents as processes, disturbs them from outside for 12 s (signals, restarts, a TCP proxy before each control instance that delays, resets, cuts one way or silences, torn writes, lost disks, restarted and leaving servers, addresses used again) while callers, servers and two operators use them, and checks what these see: no packet of another service, no reset of an open flow, no other server's answer, drains, withdrawals, acknowledged configurations, reads, planned stops, service after the last fault.

The proxy needs an instance that binds another address than the one it announces: local_control_address.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # The process tests that are listed in KNOWN-RED.txt run by themselves, and may fail.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|')
 
-.PHONY: build test generate lint quickstart tools measure
+.PHONY: build test generate lint quickstart tools measure soak
 
 build:
 	$(GO) build -o bin/peridotstage .
@@ -26,6 +26,11 @@
 		--go-drpc_out=internal/wire/messenger --go-drpc_opt=paths=source_relative \
 		internal/wire/messenger/messenger.proto
 
+# Runs the fault soak with other seeds: make soak SEEDS=50 FIRST=100. It keeps the logs of failed seeds in target/soak.
+soak:
+	$(GO) test ./platform -count=1 -timeout 60m -run TestSoak -soak.seeds=$(or $(SEEDS),10) -soak.first=$(or $(FIRST),1) \
+		-soak.parallel=$(or $(PARALLEL),2) -parallel=$(or $(PARALLEL),2) -soak.load=$(or $(LOAD),1) -soak.keep=target/soak
+
 lint:
 	.ci/run
 
--- a/internal/cli/runner/control.go
+++ b/internal/cli/runner/control.go
@@ -90,7 +90,10 @@
 func (c *controlCore) run(g *group, server *connector.Server) {
 	g.run(c.log.Run)
 	g.run(c.peers.Run)
-	server.Address, server.Consensus, server.Collector = c.host.ControlAddress, c.log, c.collector
+	if !server.Address.IsValid() {
+		server.Address = c.host.ControlAddress
+	}
+	server.Consensus, server.Collector = c.log, c.collector
 	g.run(server.Run)
 	g.run(c.announcements.run)
 }
--- a/internal/cli/runner/open_control.go
+++ b/internal/cli/runner/open_control.go
@@ -59,7 +59,7 @@
 	u.Departed = r.departed
 	orders := &administrator.Orders{Log: c.log, World: c.ledger.World, Zones: cfg.Zones, Recorder: rec}
 	g := newGroup(ctx)
-	c.run(g, &connector.Server{Heartbeats: c.granter()})
+	c.run(g, &connector.Server{Heartbeats: c.granter(), Address: cfg.LocalControl})
 	g.run(serving(cfg.OperatorAddress, p.Operators(orders)))
 	g.run(r.run)
 	g.run(u.run)
--- a/internal/fake/faulter/stream.go
+++ b/internal/fake/faulter/stream.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -22,6 +23,8 @@
 	mu       sync.Mutex
 	// toServerCut and toClientCut lose the bytes of a direction on all connections.
 	toServerCut, toClientCut bool
+	// delay is how long bytes are held before they are passed on.
+	delay time.Duration
 	pairs                    map[*pair]struct{}
 	closed                   bool
 	wg                       sync.WaitGroup
@@ -69,6 +72,27 @@
 	s.toServerCut, s.toClientCut = toServer, toClient
 }
 
+// SetDelay holds all bytes for a time, in both directions.
+func (s *Stream) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// Reset ends all connections with a TCP reset at both ends.
+func (s *Stream) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range s.pairs {
+		for _, c := range []net.Conn{p.client, p.server} {
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetLinger(0)
+			}
+		}
+		p.close()
+	}
+}
+
 // Forget loses all further bytes of the connections that are open now. New connections work.
 func (s *Stream) Forget() {
 	s.mu.Lock()
@@ -131,7 +155,7 @@
 	for {
 		n, err := from.Read(b)
 		s.mu.Lock()
-		lost := *cut || p.forgotten
+		lost, delay := *cut || p.forgotten, s.delay
 		if err != nil {
 			p.ended++
 		}
@@ -145,6 +169,7 @@
 			return
 		}
 		if !lost {
+			time.Sleep(delay)
 			_, _ = to.Write(b[:n])
 		}
 	}
--- a/internal/setting/parser/stream.go
+++ b/internal/setting/parser/stream.go
@@ -33,6 +33,7 @@
 	Seeds
 	Founding        bool                                        `json:"founding" rule:"bool" default:"false" doc:"true only when the whole system starts for the first time: the seeds then found the control log"`
 	DataFolder      string                                      `json:"data_folder" rule:"file" default:"" doc:"folder of the durable state; without one the instance keeps its state in memory and has no vote"`
+	LocalControl    netip.AddrPort                              `json:"local_control_address" rule:"address" default:"" doc:"local address to bind for control_address where something else maps it; without it control_address itself is bound"`
 	OperatorAddress netip.AddrPort                              `json:"operator_address" rule:"address" doc:"where operators are served over HTTP, in the form of the platform"`
 	Zones           map[registrar.ZoneName]registrar.RegionName `json:"zones" rule:"name" min:"1" max:"1000" doc:"region of each zone"`
 }
