--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -115,7 +115,7 @@
 	a.api = newAPIFlags(a)
 	for _, add := range []func(*app){
 		addZone, addService, addUpstream, addCustomer, addContract, addPlan, addConfirm, addStatus, addTrace, addProof, addAudit,
-		addMember, addReport, addRoles, addCheckSettings, addKeys, addVersion,
+		addMember, addReport, addExplain, addRoles, addCheckSettings, addKeys, addVersion,
 	} {
 		add(a)
 	}
--- a/internal/fake/faulter/stream.go
+++ b/internal/fake/faulter/stream.go
@@ -24,10 +24,10 @@
 	// toServerCut and toClientCut lose the bytes of a direction on all connections.
 	toServerCut, toClientCut bool
 	// delay is how long bytes are held before they are passed on.
-	delay time.Duration
-	pairs                    map[*pair]struct{}
-	closed                   bool
-	wg                       sync.WaitGroup
+	delay  time.Duration
+	pairs  map[*pair]struct{}
+	closed bool
+	wg     sync.WaitGroup
 }
 
 // pair is one connection with its two halves.
--- /dev/null
+++ b/internal/report/explainer/line.go
@@ -0,0 +1,84 @@
+// Package explainer finds, in the logs of all processes, what happened to a request or a flow.
+package explainer
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"math"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxLine bounds a line of a log in bytes. Lines about the membership of control are the longest.
+const maxLine = 1 << 20
+
+// RequestID is the id that a caller gave a request.
+type RequestID string
+
+// Flow names a flow by the caller's end and the address that it called.
+type Flow struct {
+	Caller, Address netip.AddrPort
+}
+
+// Valid reports whether both ends are known.
+func (f Flow) Valid() bool { return f.Caller.IsValid() && f.Address.IsValid() }
+
+// Line is one line of a log.
+type Line struct {
+	At time.Time
+	// Machine is the machine or process that wrote the line.
+	Machine string
+	Event   int
+	// Text is the JSON object as it was written.
+	Text string
+
+	fields
+}
+
+// fields are the parts of a line that decide whether it belongs to a request. Absent ones are zero.
+type fields struct {
+	TS       float64        `json:"ts"`
+	Message  string         `json:"msg"`
+	Number   int            `json:"event"`
+	Request  RequestID      `json:"request"`
+	Caller   netip.AddrPort `json:"caller"`
+	Address  netip.AddrPort `json:"address"`
+	Reason   string         `json:"reason"`
+	Upstream string         `json:"upstream"`
+	Busy     uint32         `json:"busy"`
+	Slots    uint32         `json:"slots"`
+	TookUS   int64          `json:"took_us"`
+	WorkUS   int64          `json:"work_us"`
+	ColdMS   int64          `json:"cold_ms"`
+	Draining bool           `json:"draining"`
+}
+
+func (l *Line) flow() Flow { return Flow{Caller: l.Caller, Address: l.Address} }
+
+// scan calls f with each line of a log that is a numbered event. Other lines are skipped, such as those of the runtime. Text
+// before the JSON object ends with the name of the machine, as log collectors put it; without such text machine is the name.
+func scan(r io.Reader, machine string, f func(*Line)) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		prefix, _, found := strings.Cut(lines.Text(), "{")
+		if !found {
+			continue
+		}
+		l := &Line{Machine: machine, Text: lines.Text()[len(prefix):]}
+		if json.Unmarshal([]byte(l.Text), &l.fields) != nil || l.Number == 0 {
+			continue
+		}
+		if words := strings.Fields(prefix); len(words) > 0 {
+			l.Machine = words[len(words)-1]
+		}
+		seconds, fraction := math.Modf(l.TS)
+		l.At, l.Event = time.Unix(int64(seconds), int64(fraction*1e9)), l.Number
+		f(l)
+	}
+	return eris.Wrapf(lines.Err(), "read log of %s", machine)
+}
