Take changed seeds from a settings file that is read again

A SIGHUP after the platform had changed the seeds, or the founding flag, of a running process was refused as a whole with an error a field (event 1106), and fields that can be reloaded stayed as they were. Nodes now take new seeds in beside the instances that they know; control instances need neither field after their start (TestSetters and TestControlClientsLearn failed before).

--- a/internal/cli/runner/node.go
+++ b/internal/cli/runner/node.go
@@ -80,7 +80,7 @@
 		serves:     cfg.LeaseExpired == parser.LeaseExpiredServe,
 	}
 	n.clients.keys = keys
-	n.clients.set(preferred(cfg.Name, cfg.Control))
+	n.clients.add(preferred(cfg.Name, cfg.Control))
 	return n, nil
 }
 
--- a/internal/cli/runner/open_control.go
+++ b/internal/cli/runner/open_control.go
@@ -28,7 +28,7 @@
 	cfg := source.Settings
 	rec.Warn(recorder.TrustedNetwork)
 	reload := newReload(source, rec)
-	reload.setters = setters[parser.OpenControl]{}
+	reload.setters = openControlSetters()
 	name := controlName(cfg.ControlAddress)
 	volatile := cfg.DataFolder == ""
 	if volatile {
@@ -69,6 +69,13 @@
 	return g.wait()
 }
 
+// openControlSetters takes new values of the fields that matter only when an instance starts. A running one knows the members from
+// the log, and the platform changes both fields of a running instance's file.
+func openControlSetters() setters[parser.OpenControl] {
+	atStart := func(parser.OpenControl) {}
+	return setters[parser.OpenControl]{"seeds": atStart, "founding": atStart}
+}
+
 // registration keeps an instance of an open group in the configuration, where nodes find it.
 type registration struct {
 	core    *controlCore
--- a/internal/cli/runner/reload_test.go
+++ b/internal/cli/runner/reload_test.go
@@ -17,6 +17,9 @@
 	requireSetters(t, entrySetters(&node{}, &span{}))
 	requireSetters(t, (&agent{}).setters())
 	requireSetters(t, controlSetters(&burner.Collector{}))
+	requireSetters(t, streamEntrySetters(&node{}, &span{}))
+	requireSetters(t, streamAgentSetters(&node{}, &span{}))
+	requireSetters(t, openControlSetters())
 }
 
 func requireSetters[T any](t *testing.T, s setters[T]) {
--- a/internal/cli/runner/seeded.go
+++ b/internal/cli/runner/seeded.go
@@ -36,12 +36,22 @@
 	return &connector.Client{Address: a, TLS: c.keys.Client}
 }
 
-func (c *controlClients) set(addresses []netip.AddrPort) {
+// add takes in instances that are not known yet.
+func (c *controlClients) add(addresses []netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.all = c.withNew(c.all, addresses)
+}
+
+// withNew appends clients for the addresses that none of the given clients has.
+func (c *controlClients) withNew(clients []*connector.Client, addresses []netip.AddrPort) []*connector.Client {
 	for _, a := range addresses {
-		c.all = append(c.all, c.newClient(a))
+		known := func(v *connector.Client) bool { return v.Address == a }
+		if !slices.ContainsFunc(clients, known) {
+			clients = append(clients, c.newClient(a))
+		}
 	}
+	return clients
 }
 
 // learn adds the instances that the configuration names, and drops those that it does not name any more.
@@ -64,12 +74,7 @@
 			next = append(next, old)
 		}
 	}
-	for _, a := range named {
-		known := func(v *connector.Client) bool { return v.Address == a }
-		if !slices.ContainsFunc(next, known) {
-			next = append(next, c.newClient(a))
-		}
-	}
+	next = c.withNew(next, named)
 	c.all, c.at = next, slices.Index(next, used)
 }
 
--- a/internal/cli/runner/seeded_test.go
+++ b/internal/cli/runner/seeded_test.go
@@ -14,7 +14,7 @@
 func TestControlClientsLearn(t *testing.T) {
 	address := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7735) }
 	var c controlClients
-	c.set([]netip.AddrPort{address(1), address(2), address(3)})
+	c.add([]netip.AddrPort{address(1), address(2), address(3)})
 	c.next()
 	used := c.current()
 	w := registrar.NewWorld()
@@ -40,4 +40,12 @@
 	require.Same(t, used, c.current(), "the instance that answered last is tried first")
 	c.next()
 	require.NotSame(t, used, c.current())
+	// Seeds of a settings file that was read again are known at most once.
+	c.add([]netip.AddrPort{address(4), address(9)})
+	c.add([]netip.AddrPort{address(9)})
+	known = nil
+	for _, one := range c.list() {
+		known = append(known, one.Address)
+	}
+	require.ElementsMatch(t, []netip.AddrPort{address(2), address(4), address(5), address(9)}, known)
 }
--- a/internal/cli/runner/stream_agent.go
+++ b/internal/cli/runner/stream_agent.go
@@ -66,7 +66,7 @@
 	}
 	linger := &span{}
 	linger.set(cfg.Linger)
-	reload.setters = setters[parser.StreamAgent]{"linger": func(cfg parser.StreamAgent) { linger.set(cfg.Linger) }}
+	reload.setters = streamAgentSetters(n, linger)
 	stop := func() {
 		a.Stop()
 		front.Notify()
@@ -119,3 +119,10 @@
 	c.admitter.Leave(name)
 	c.changed()
 }
+
+func streamAgentSetters(n *node, linger *span) setters[parser.StreamAgent] {
+	return setters[parser.StreamAgent]{
+		"linger": func(cfg parser.StreamAgent) { linger.set(cfg.Linger) },
+		"seeds":  func(cfg parser.StreamAgent) { n.clients.add(cfg.Control()) },
+	}
+}
--- a/internal/cli/runner/stream_entry.go
+++ b/internal/cli/runner/stream_entry.go
@@ -60,7 +60,7 @@
 	}
 	linger := &span{}
 	linger.set(cfg.Linger)
-	reload.setters = setters[parser.StreamEntry]{"linger": func(cfg parser.StreamEntry) { linger.set(cfg.Linger) }}
+	reload.setters = streamEntrySetters(n, linger)
 	return lingering(ctx, n, rec, linger, func() {}, func() bool { return false },
 		front.Run, reload.run, serveMetrics(e, rec), serving(cfg.ReadyAddress, readyHandler(ready)))
 }
@@ -106,3 +106,10 @@
 
 // lingerPoll is how often a machine that stops looks whether it is idle.
 const lingerPoll = 100 * time.Millisecond
+
+func streamEntrySetters(n *node, linger *span) setters[parser.StreamEntry] {
+	return setters[parser.StreamEntry]{
+		"linger": func(cfg parser.StreamEntry) { linger.set(cfg.Linger) },
+		"seeds":  func(cfg parser.StreamEntry) { n.clients.add(cfg.Control()) },
+	}
+}
--- a/internal/setting/parser/stream.go
+++ b/internal/setting/parser/stream.go
@@ -8,7 +8,7 @@
 
 // Seeds name control instances that a machine on a trusted network knows at its start. It learns of the others from them.
 type Seeds struct {
-	Addresses []netip.AddrPort `json:"seeds" rule:"address" min:"1" max:"64" doc:"addresses of some control instances"`
+	Addresses []netip.AddrPort `json:"seeds" rule:"address" min:"1" max:"64" reload:"yes" doc:"addresses of some control instances"`
 	Port      Port             `json:"seed_port" rule:"port" default:"" doc:"port at which control instances take calls of other machines; without it that of the address in seeds"`
 }
 
@@ -31,7 +31,7 @@
 type OpenControl struct {
 	Host
 	Seeds
-	Founding        bool                                        `json:"founding" rule:"bool" default:"false" doc:"true only when the whole system starts for the first time: the seeds then found the control log"`
+	Founding        bool                                        `json:"founding" rule:"bool" default:"false" reload:"yes" doc:"true only when the whole system starts for the first time: the seeds then found the control log"`
 	DataFolder      string                                      `json:"data_folder" rule:"file" default:"" doc:"folder of the durable state; without one the instance keeps its state in memory and has no vote"`
 	LocalControl    netip.AddrPort                              `json:"local_control_address" rule:"address" default:"" doc:"local address to bind for control_address where something else maps it; without it control_address itself is bound"`
 	OperatorAddress netip.AddrPort                              `json:"operator_address" rule:"address" doc:"where operators are served over HTTP, in the form of the platform"`
