Pack large replies to heartbeats, and wait longer on links that are too slow for them

The reply with the update did not arrive within 0.7 s, and each try began it anew at another instance; entries that started again did not get the full state either. Ruled out: load of control (entries with wider links got the revision at once).

Replies of 4 KB and more are now compressed once and shared by all nodes at the same revision; nodes say that they read it, so versions can be mixed. After three silent instances in a row a node's timeout doubles, up to 5.6 s.

--- a/internal/cli/runner/node.go
+++ b/internal/cli/runner/node.go
@@ -28,8 +28,12 @@
 const (
 	// heartbeatInterval leaves four tries within a lease.
 	heartbeatInterval = 500 * time.Millisecond
-	// heartbeatTimeout bounds one try, so that a silent control instance costs less than half a lease.
-	heartbeatTimeout = 700 * time.Millisecond
+	// heartbeatTimeout bounds one try, so that a silent control instance costs less than half a lease. It doubles after
+	// silentInstances have been silent in turn, up to maxHeartbeatTimeout: the link may be too slow for the reply.
+	heartbeatTimeout    = 700 * time.Millisecond
+	maxHeartbeatTimeout = 8 * heartbeatTimeout
+	// silentInstances is more than fail at a time on an ordinary day.
+	silentInstances = 3
 	// retryInterval is the wait after a failed try before the next instance is asked.
 	retryInterval = 100 * time.Millisecond
 )
@@ -154,6 +158,8 @@
 func (n *node) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	// silent counts the tries in a row that ended by their timeout.
+	silent := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -163,7 +169,11 @@
 		}
 		wait := heartbeatInterval
 		c := n.clients.current()
-		if err := n.heartbeat(ctx, c); err != nil && ctx.Err() == nil {
+		err := n.heartbeat(ctx, c, timeoutAfter(silent))
+		if silent++; !eris.Is(err, context.DeadlineExceeded) {
+			silent = 0
+		}
+		if err != nil && ctx.Err() == nil {
 			n.recorder.Warn(recorder.HeartbeatFailed, zap.Stringer("control", c.Address), recorder.Err(err))
 			n.clients.next()
 			n.reporter.Restart()
@@ -176,17 +186,26 @@
 	}
 }
 
+// timeoutAfter returns the timeout of a heartbeat after a number of silent tries in a row.
+func timeoutAfter(silent int) time.Duration {
+	d := heartbeatTimeout
+	for ; silent >= silentInstances && d < maxHeartbeatTimeout; silent -= silentInstances {
+		d *= 2
+	}
+	return d
+}
+
 // lastHeartbeat reports the end of the machine to the first control instance that answers.
 func (n *node) lastHeartbeat(ctx context.Context) {
 	for _, c := range n.clients.list() {
-		if n.heartbeat(ctx, c) == nil {
+		if n.heartbeat(ctx, c, heartbeatTimeout) == nil {
 			return
 		}
 	}
 }
 
-func (n *node) heartbeat(ctx context.Context, c *connector.Client) error {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+func (n *node) heartbeat(ctx context.Context, c *connector.Client, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	h := leaser.Heartbeat{Machine: n.machine, Revision: n.subscriber.World.Revision(), ServeExpired: n.servesExpired()}
 	h.Machine.ServesExpired = h.ServeExpired
--- a/internal/control/planner/replace.go
+++ b/internal/control/planner/replace.go
@@ -1,14 +1,12 @@
 package planner
 
 import (
-	"bytes"
-	"compress/flate"
 	"encoding/json"
-	"io"
 	"net/netip"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/peridotstage/peridotstage/internal/store/compressor"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
@@ -16,10 +14,10 @@
 type Document []byte
 
 // NewDocument compresses a text.
-func NewDocument(text []byte) Document { return compress(text) }
+func NewDocument(text []byte) Document { return compressor.Compress(text) }
 
 // Text returns the text that the document was made of.
-func (d Document) Text() ([]byte, error) { return decompress(d) }
+func (d Document) Text() ([]byte, error) { return compressor.Decompress(d) }
 
 // Replacement is a whole configuration of routes under an operator's version.
 type Replacement struct {
@@ -195,38 +193,14 @@
 	if c.Replacement == nil {
 		return b, nil
 	}
-	return append([]byte{compressedMark}, compress(b)...), nil
+	return append([]byte{compressedMark}, compressor.Compress(b)...), nil
 }
 
 func decodeCommand(entry []byte) (c Command, err error) {
 	if len(entry) > 0 && entry[0] == compressedMark {
-		if entry, err = decompress(entry[1:]); err != nil {
+		if entry, err = compressor.Decompress(entry[1:]); err != nil {
 			return c, err
 		}
 	}
 	return c, json.Unmarshal(entry, &c)
 }
-
-func compress(b []byte) []byte {
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err == nil {
-		_, err = w.Write(b)
-	}
-	if err == nil {
-		err = w.Close()
-	}
-	if err != nil {
-		// A buffer takes every write, and the level is valid.
-		panic(err)
-	}
-	return out.Bytes()
-}
-
-// maxText bounds what a compressed entry or document may hold, in bytes.
-const maxText = 64 << 20
-
-func decompress(b []byte) ([]byte, error) {
-	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxText))
-	return text, eris.Wrap(err, "decompress")
-}
--- a/internal/front/connector/server.go
+++ b/internal/front/connector/server.go
@@ -159,7 +159,7 @@
 		return nil, eris.Wrapf(ErrPeer, "machine %q reports as %q", name, h.Machine.Name)
 	}
 	r, refusal := s.handler.Heartbeat(time.Now(), h)
-	reply, err := s.replies.ToMessage(r)
+	reply, err := s.replies.ToMessage(r, m.GetReadsPacked())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/encoder/heartbeat.go
+++ b/internal/wire/encoder/heartbeat.go
@@ -1,6 +1,7 @@
 package encoder
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/route/counter"
+	"github.com/peridotstage/peridotstage/internal/store/compressor"
 	"github.com/peridotstage/peridotstage/internal/wire/messenger"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -38,7 +40,7 @@
 	}
 	m := &messenger.HeartbeatRequest{
 		Protocol: Protocol, Machine: machine, Revision: uint64(h.Revision), LeaseExpiredServes: h.ServeExpired,
-		Sequence: h.Sequence, EvidenceBase: h.EvidenceBase, Digest: h.Digest,
+		Sequence: h.Sequence, EvidenceBase: h.EvidenceBase, Digest: h.Digest, ReadsPacked: true,
 	}
 	if a := h.Announcement; a != nil {
 		m.Announcement = &messenger.Announcement{
@@ -94,50 +96,81 @@
 	return h, err
 }
 
-// ReplyEncoder translates replies to heartbeats. It keeps the encoding of the newest full state, because many newcomers get
-// the same one: at 7,800 upstreams it takes about 25 ms. The zero value is ready for use.
+// packFrom is the size in bytes from which updates are packed. Smaller ones cost more to pack than they save.
+const packFrom = 4 << 10
+
+// ReplyEncoder translates replies to heartbeats. It keeps the newest large encodings, because many nodes get the same ones: at
+// 7,800 upstreams a full state takes about 25 ms. The zero value is ready for use.
 type ReplyEncoder struct {
 	mu sync.Mutex
-	// encoded is the encoding of state.
-	state   *registrar.State
-	encoded []byte
+	// encoded and packed are the encodings of state; packed is nil until it is needed.
+	state           *registrar.State
+	encoded, packed []byte
+	// updates is the packed encoding of the updates from one revision to another.
+	updates          []byte
+	updateFrom, upTo registrar.Revision
 }
 
-func (e *ReplyEncoder) encodeState(st *registrar.State) ([]byte, error) {
+func (e *ReplyEncoder) encodeState(st *registrar.State, pack bool) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.state == st {
+	if e.state != st {
+		b, err := json.Marshal(st)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode state")
+		}
+		e.state, e.encoded, e.packed = st, b, nil
+	}
+	if !pack {
 		return e.encoded, nil
 	}
-	b, err := json.Marshal(st)
-	if err != nil {
-		return nil, eris.Wrap(err, "encode state")
+	if e.packed == nil {
+		e.packed = compressor.Compress(e.encoded)
 	}
-	e.state, e.encoded = st, b
-	return b, nil
+	return e.packed, nil
 }
 
-// ToMessage translates the reply to a heartbeat. A full state must not change after it was first passed in.
-func (e *ReplyEncoder) ToMessage(r subscriber.Reply) (*messenger.HeartbeatReply, error) {
+// pack returns encoded updates as one compressed list.
+func (e *ReplyEncoder) pack(updates []registrar.Update, encoded [][]byte) []byte {
+	from, to := updates[0].Revision, updates[len(updates)-1].Revision
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.updates == nil || e.updateFrom != from || e.upTo != to {
+		list := append(append([]byte{'['}, bytes.Join(encoded, []byte{','})...), ']')
+		e.updates, e.updateFrom, e.upTo = compressor.Compress(list), from, to
+	}
+	return e.updates
+}
+
+// ToMessage translates the reply to a heartbeat, packed if the node reads that. A full state must not change after it was first
+// passed in.
+func (e *ReplyEncoder) ToMessage(r subscriber.Reply, packed bool) (*messenger.HeartbeatReply, error) {
 	m := &messenger.HeartbeatReply{
 		Protocol: Protocol, Revision: uint64(r.Revision), AgeMicros: uint64(r.Age.Microseconds()), Granted: r.Granted,
 		WantEvidence: r.WantEvidence,
 	}
+	size := 0
 	for _, u := range r.Updates {
 		b, err := json.Marshal(u)
 		if err != nil {
 			return nil, eris.Wrap(err, "encode update")
 		}
 		m.Updates = append(m.Updates, b)
+		size += len(b)
 	}
-	if r.State != nil {
-		b, err := e.encodeState(r.State)
-		if err != nil {
-			return nil, err
-		}
+	if packed && size >= packFrom {
+		m.Updates, m.PackedUpdates = nil, e.pack(r.Updates, m.Updates)
+	}
+	if r.State == nil {
+		return m, nil
+	}
+	b, err := e.encodeState(r.State, packed)
+	if packed {
+		m.PackedState = b
+	} else {
 		m.State = b
 	}
-	return m, nil
+	return m, err
 }
 
 // ReplyFromMessage translates a received reply.
@@ -157,11 +190,30 @@
 		}
 		r.Updates = append(r.Updates, u)
 	}
+	if b := m.GetPackedUpdates(); len(b) > 0 {
+		if err := unpack(b, &r.Updates); err != nil {
+			return r, eris.Wrap(err, "decode updates")
+		}
+	}
 	if len(m.GetState()) > 0 {
 		r.State = &registrar.State{}
 		if err := json.Unmarshal(m.GetState(), r.State); err != nil {
 			return r, eris.Wrap(err, "decode state")
 		}
 	}
+	if b := m.GetPackedState(); len(b) > 0 {
+		r.State = &registrar.State{}
+		if err := unpack(b, r.State); err != nil {
+			return r, eris.Wrap(err, "decode state")
+		}
+	}
 	return r, nil
 }
+
+func unpack(b []byte, v any) error {
+	text, err := compressor.Decompress(b)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, v)
+}
--- a/internal/wire/encoder/heartbeat_test.go
+++ b/internal/wire/encoder/heartbeat_test.go
@@ -1,12 +1,17 @@
 package encoder_test
 
 import (
+	"fmt"
+	"net/netip"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/peridotstage/peridotstage/internal/control/leaser"
+	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/wire/encoder"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // TestDigestOfOtherVersion guards against the full state being sent to every node during an upgrade, because versions with
@@ -21,3 +26,40 @@
 		require.Equal(t, want, h.Digest, "version %d", version)
 	}
 }
+
+// TestLargeReply guards against replies that a slow link does not carry within the timeout of a heartbeat, which each try then
+// begins anew: 1,500 routes, which some installations add at once, must need at most a quarter of the 0.7 s on a link of
+// 3 Mbit/s, as an update and as a full state.
+func TestLargeReply(t *testing.T) {
+	const quarter = 3_000_000 / 8 * 7 / 10 / 4
+	var changes []registrar.Change
+	var routes []registrar.Route
+	for i := range 1500 {
+		r := registrar.Route{
+			Name:    registrar.RouteName(fmt.Sprintf("r-%x", i*7919)),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), uint16(8000+i%40)),
+			Kind:    "idempotent", Timeout: registrar.Millis(500 + i%9), Targets: []registrar.Target{{Service: "desk", Weight: 1000}},
+		}
+		routes = append(routes, r)
+		changes = append(changes, registrar.Change{Kind: registrar.PutRoute, Route: &r})
+	}
+	for name, reply := range map[string]subscriber.Reply{
+		"update": {Revision: 8, Updates: []registrar.Update{{Revision: 7}, {Revision: 8, Changes: changes}}},
+		"state":  {Revision: 8, State: &registrar.State{Revision: 8, Routes: routes}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var e encoder.ReplyEncoder
+			for _, packed := range []bool{false, true, true} {
+				m, err := e.ToMessage(reply, packed)
+				require.NoError(t, err)
+				if packed {
+					require.LessOrEqual(t, proto.Size(m), quarter)
+				}
+				got, err := encoder.ReplyFromMessage(m)
+				require.NoError(t, err)
+				require.Equal(t, reply.Updates, got.Updates)
+				require.Equal(t, reply.State, got.State)
+			}
+		})
+	}
+}
