--- a/internal/wire/encoder/heartbeat_test.go
+++ b/internal/wire/encoder/heartbeat_test.go
@@ -52,6 +52,7 @@
 			for _, packed := range []bool{false, true, true} {
 				m, err := e.ToMessage(reply, packed)
 				require.NoError(t, err)
+				t.Logf("packed %t: %d bytes", packed, proto.Size(m))
 				if packed {
 					require.LessOrEqual(t, proto.Size(m), quarter)
 				}
