--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -47,6 +47,19 @@
 	Forward(ctx context.Context, leader replicator.Member, p replicator.Proposed) ([]byte, error)
 }
 
+// storage keeps what a member has promised.
+type storage interface {
+	// open loads the state and gives a member without one an identity.
+	open(folder string) (replicator.State, error)
+	identity() replicator.MemberID
+	write(e replicator.Effects) error
+	saveSnapshot(n replicator.Snapshot) error
+	release(upTo replicator.Index) error
+	// reload reads the state again after a failed write.
+	reload() (replicator.State, error)
+	close() error
+}
+
 // Driver runs a member. The exported fields are set before Open.
 type Driver struct {
 	Name    registrar.MachineName
--- a/internal/control/driver/volatile.go
+++ b/internal/control/driver/volatile.go
@@ -2,19 +2,6 @@
 
 import "github.com/peridotstage/peridotstage/internal/control/replicator"
 
-// storage keeps what a member has promised.
-type storage interface {
-	// open loads the state and gives a member without one an identity.
-	open(folder string) (replicator.State, error)
-	identity() replicator.MemberID
-	write(e replicator.Effects) error
-	saveSnapshot(n replicator.Snapshot) error
-	release(upTo replicator.Index) error
-	// reload reads the state again after a failed write.
-	reload() (replicator.State, error)
-	close() error
-}
-
 // volatileStore keeps nothing but the identity of this process. The replica holds the entries since its newest snapshot in
 // memory, and its state machine the rest.
 type volatileStore struct {
