Hash flows and addresses in one place

The steerer hashed a flow although the balancer already did, and the admitter, the routes and the balancer each built the same key of an address and port. registrar.Flow.Hash and HashAddress serve all of them. Buckets stay as they are (TestBucketOf has values of the code before); stream entries rank upstreams by the same hash as buckets now, so old and new entries search in another order.

--- a/internal/admit/admitter/admitter.go
+++ b/internal/admit/admitter/admitter.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/peridotstage/peridotstage/internal/route/carrier"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -124,12 +122,7 @@
 
 func (a *Admitter) tag() carrier.ServiceTag { return carrier.TagOf(a.Service) }
 
-func (a *Admitter) shard(f registrar.Flow) *shard {
-	ip := f.Caller.Addr().As16()
-	port := f.Caller.Port()
-	key := append(ip[:], byte(port>>8), byte(port))
-	return &a.shards[xxhash.Sum64(key)%flowShards]
-}
+func (a *Admitter) shard(f registrar.Flow) *shard { return &a.shards[registrar.HashAddress(f.Caller)%flowShards] }
 
 // Changes returns a number that grows whenever the report changes.
 func (a *Admitter) Changes() uint64 { return a.changes.Load() }
--- a/internal/route/balancer/balancer.go
+++ b/internal/route/balancer/balancer.go
@@ -2,12 +2,8 @@
 package balancer
 
 import (
-	"encoding/binary"
-	"net/netip"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
@@ -30,18 +26,7 @@
 }
 
 // BucketOf returns the bucket of a flow.
-func BucketOf(f registrar.Flow) Bucket {
-	var key [36]byte
-	putAddrPort(key[0:], f.Caller)
-	putAddrPort(key[18:], f.Service)
-	return Bucket(xxhash.Sum64(key[:]) % BucketCount)
-}
-
-func putAddrPort(b []byte, a netip.AddrPort) {
-	ip := a.Addr().As16()
-	copy(b, ip[:])
-	binary.LittleEndian.PutUint16(b[16:], a.Port())
-}
+func BucketOf(f registrar.Flow) Bucket { return Bucket(f.Hash() % BucketCount) }
 
 // Chain lists the upstreams that may hold a flow of a bucket, in the order in which they are asked. It is a fixed-size
 // value so that looking one up does not allocate.
--- a/internal/route/balancer/balancer_test.go
+++ b/internal/route/balancer/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"net/netip"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,3 +70,18 @@
 		}
 	})
 }
+
+// TestBucketOf guards against a hash of flows that changes between versions: machines of both would own other buckets.
+func TestBucketOf(t *testing.T) {
+	for _, tc := range []struct {
+		caller, service string
+		want            balancer.Bucket
+	}{
+		{"100.64.0.7:40001", "198.18.0.1:443", 1431},
+		{"[2001:db8::1]:5", "[2001:db8::2]:443", 1035},
+		{"10.0.0.1:1", "10.0.0.2:2", 3259},
+	} {
+		f := registrar.Flow{Caller: netip.MustParseAddrPort(tc.caller), Service: netip.MustParseAddrPort(tc.service)}
+		require.Equal(t, tc.want, balancer.BucketOf(f))
+	}
+}
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/peridotstage/peridotstage/internal/route/carrier"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -100,16 +98,6 @@
 	updateMu sync.Mutex
 }
 
-func flowHash(f registrar.Flow) uint64 {
-	var key [36]byte
-	caller, service := f.Caller.Addr().As16(), f.Service.Addr().As16()
-	copy(key[:], caller[:])
-	copy(key[18:], service[:])
-	key[16], key[17] = byte(f.Caller.Port()>>8), byte(f.Caller.Port())
-	key[34], key[35] = byte(f.Service.Port()>>8), byte(f.Service.Port())
-	return xxhash.Sum64(key[:])
-}
-
 // FromCaller decides about a packet of a caller.
 func (s *Steerer) FromCaller(now time.Time, seg *carrier.Segment) Decision {
 	route, ok, refusal := s.routeOf(now, seg)
@@ -117,7 +105,7 @@
 		return refusal
 	}
 	flow := seg.Flow()
-	h := flowHash(flow)
+	h := flow.Hash()
 	sh := &s.shards[h%flowShards]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -228,7 +216,7 @@
 		return refusal
 	}
 	flow := seg.Flow()
-	h := flowHash(flow)
+	h := flow.Hash()
 	sh := &s.shards[h%flowShards]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -292,7 +280,7 @@
 	if m == nil {
 		return
 	}
-	sh := &s.shards[flowHash(flow)%flowShards]
+	sh := &s.shards[flow.Hash()%flowShards]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	s.remember(sh, flow, &record{member: m, seenAt: now})
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -254,7 +254,7 @@
 	n := 0
 	const flows = 20_000
 	for port := range flows {
-		if targetOf(r, flowHash(packet(port, 0, 0).Flow())) == "catalogue" {
+		if targetOf(r, packet(port, 0, 0).Flow().Hash()) == "catalogue" {
 			n++
 		}
 	}
@@ -266,7 +266,7 @@
 	s := newSite(t, 10, 0)
 	f := s.current().fleets["desk"]
 	for port := range 50 {
-		h := flowHash(packet(port, 0, 0).Flow())
+		h := packet(port, 0, 0).Flow().Hash()
 		all := f.ranked(h, func(*member) bool { return true })
 		fewer := f.ranked(h, func(m *member) bool { return m.id != 3 })
 		var want []*member
--- a/internal/world/registrar/id.go
+++ b/internal/world/registrar/id.go
@@ -2,7 +2,12 @@
 // services and upstreams) and World, the replicated configuration that is built from them revision by revision.
 package registrar
 
-import "net/netip"
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Names are chosen by operators or settings and are unique per kind.
 type (
@@ -73,3 +78,27 @@
 	Caller  netip.AddrPort
 	Service netip.AddrPort
 }
+
+// Hash returns a hash of both ends, which all machines agree on.
+func (f Flow) Hash() uint64 {
+	var key [2 * addressSize]byte
+	putAddress(key[:], f.Caller)
+	putAddress(key[addressSize:], f.Service)
+	return xxhash.Sum64(key[:])
+}
+
+// HashAddress returns a hash of an address and port.
+func HashAddress(a netip.AddrPort) uint64 {
+	var key [addressSize]byte
+	putAddress(key[:], a)
+	return xxhash.Sum64(key[:])
+}
+
+// addressSize is the length in bytes of an address and port in a hash.
+const addressSize = 18
+
+func putAddress(b []byte, a netip.AddrPort) {
+	ip := a.Addr().As16()
+	copy(b, ip[:])
+	binary.LittleEndian.PutUint16(b[16:], a.Port())
+}
--- a/internal/world/registrar/route.go
+++ b/internal/world/registrar/route.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
 
@@ -99,13 +98,7 @@
 // routeTable holds all routes in shards by address.
 type routeTable [routeShardCount]routeShard
 
-func (t *routeTable) shard(a netip.AddrPort) *routeShard {
-	var key [18]byte
-	ip := a.Addr().As16()
-	copy(key[:], ip[:])
-	key[16], key[17] = byte(a.Port()>>8), byte(a.Port())
-	return &t[xxhash.Sum64(key[:])%routeShardCount]
-}
+func (t *routeTable) shard(a netip.AddrPort) *routeShard { return &t[HashAddress(a)%routeShardCount] }
 
 func (t *routeTable) clear() {
 	for i := range t {
