Carry a packet through the steerer as one value

Each step took the time, shard, route, flow and hash of a packet as parameters of its own, seven or eight in all, and both ways in began with the same lookups. A passage holds them. A report that is too old is told by load.latest instead of by each caller; member.service was not used.

--- a/internal/route/steerer/load.go
+++ b/internal/route/steerer/load.go
@@ -54,10 +54,12 @@
 	}
 }
 
-func (l *load) latest(now time.Time) (r carrier.LoadReport, age time.Duration, ok bool) {
+// latest returns the newest report and its age. It is fresh if it still counts.
+func (l *load) latest(now time.Time) (r carrier.LoadReport, age time.Duration, fresh bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.newest, now.Sub(l.heardAt), !l.heardAt.IsZero()
+	age = now.Sub(l.heardAt)
+	return l.newest, age, !l.heardAt.IsZero() && age <= reportLife
 }
 
 // expect returns how long a request would take at the upstream, and whether the upstream has room for it.
@@ -96,8 +98,8 @@
 		if slices.Contains(tried, m.id) {
 			continue
 		}
-		_, age, ok := m.load.latest(now)
-		if !ok || age > reportLife {
+		_, age, fresh := m.load.latest(now)
+		if !fresh {
 			continue
 		}
 		wait, room := m.load.expect()
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -98,37 +98,58 @@
 	updateMu sync.Mutex
 }
 
+// passage is a packet of a caller on its way through the entry, with the shard of its flow locked.
+type passage struct {
+	now   time.Time
+	seg   *carrier.Segment
+	route registrar.Route
+	flow  registrar.Flow
+	hash  uint64
+	shard *shard
+}
+
+// enter finds the route of a packet and locks its shard, or says what happens to the packet without a route.
+func (s *Steerer) enter(now time.Time, seg *carrier.Segment) (p passage, ok bool, refusal Decision) {
+	if !s.Lease.Valid(now) {
+		return p, false, Decision{Reason: ReasonNoLease}
+	}
+	p = passage{now: now, seg: seg, flow: seg.Flow()}
+	if p.route, ok = s.World.Route(seg.To); !ok {
+		return p, false, s.unrouted(seg)
+	}
+	p.hash = p.flow.Hash()
+	p.shard = &s.shards[p.hash%flowShards]
+	p.shard.mu.Lock()
+	return p, true, Decision{}
+}
+
+// leave unlocks the shard.
+func (p passage) leave() { p.shard.mu.Unlock() }
+
+// known returns what the entry knows about the flow, or nil.
+func (p passage) known() *record { return p.shard.flows[p.flow] }
+
 // FromCaller decides about a packet of a caller.
 func (s *Steerer) FromCaller(now time.Time, seg *carrier.Segment) Decision {
-	route, ok, refusal := s.routeOf(now, seg)
+	p, ok, refusal := s.enter(now, seg)
 	if !ok {
 		return refusal
 	}
-	flow := seg.Flow()
-	h := flow.Hash()
-	sh := &s.shards[h%flowShards]
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	rec := sh.flows[flow]
+	defer p.leave()
+	rec := p.known()
 	switch {
 	case seg.Opens():
-		return s.open(now, sh, route, seg, h)
+		return s.open(p)
 	case rec == nil || !rec.member.reachable(now):
-		return s.search(now, route, h, 0)
+		return s.search(p, 0)
 	}
-	rec.seenAt = now
-	return Decision{Verb: Pass, Reason: ReasonKnown, To: rec.member.address, Header: rec.member.passHeader()}
+	return s.pass(p, rec)
 }
 
-// routeOf returns the route of a packet, or what happens to the packet without one.
-func (s *Steerer) routeOf(now time.Time, seg *carrier.Segment) (r registrar.Route, ok bool, refusal Decision) {
-	if !s.Lease.Valid(now) {
-		return r, false, Decision{Reason: ReasonNoLease}
-	}
-	if r, ok = s.World.Route(seg.To); !ok {
-		return r, false, s.unrouted(seg)
-	}
-	return r, true, Decision{}
+// pass sends a packet to the upstream that the entry knows to hold its flow.
+func (s *Steerer) pass(p passage, rec *record) Decision {
+	rec.seenAt = p.now
+	return Decision{Verb: Pass, Reason: ReasonKnown, To: rec.member.address, Header: rec.member.passHeader()}
 }
 
 // unrouted handles a packet to an address without a route. A packet that opens no flow may belong to one that is open at a
@@ -141,26 +162,21 @@
 }
 
 // open handles an opening packet. A copy goes to the upstream of the first one, unless that has fallen silent since.
-func (s *Steerer) open(now time.Time, sh *shard, route registrar.Route, seg *carrier.Segment, h uint64) Decision {
-	flow := seg.Flow()
-	rec := sh.flows[flow]
-	if rec != nil && seg.Attempt() > 0 && rec.member.accepting(now) {
-		rec.seenAt, rec.tried = now, nil
-		return Decision{Verb: Pass, Reason: ReasonKnown, To: rec.member.address, Header: rec.member.passHeader()}
+func (s *Steerer) open(p passage) Decision {
+	rec := p.known()
+	if rec == nil || p.seg.Attempt() == 0 {
+		return s.place(p, nil)
 	}
-	var tried []registrar.UpstreamID
-	if rec != nil && seg.Attempt() > 0 {
-		tried = []registrar.UpstreamID{rec.member.id}
+	if rec.member.accepting(p.now) {
+		rec.tried = nil
+		return s.pass(p, rec)
 	}
-	return s.place(now, sh, route, flow, h, tried)
+	return s.place(p, []registrar.UpstreamID{rec.member.id})
 }
 
 // place chooses an upstream for a new flow.
-func (s *Steerer) place(now time.Time, sh *shard, route registrar.Route, flow registrar.Flow, h uint64,
-	tried []registrar.UpstreamID,
-) Decision {
-	f := s.current().fleetOf(route, h)
-	c, known := f.choose(now, s.Zone, h, tried)
+func (s *Steerer) place(p passage, tried []registrar.UpstreamID) Decision {
+	c, known := s.current().fleetOf(p.route, p.hash).choose(p.now, s.Zone, p.hash, tried)
 	switch {
 	case c.member == nil && known:
 		return Decision{Reason: ReasonNoRoom}
@@ -168,7 +184,7 @@
 		return Decision{Verb: Reset, Reason: ReasonNoUpstream}
 	}
 	c.member.load.placed()
-	s.remember(sh, flow, &record{member: c.member, seenAt: now, tried: tried})
+	s.remember(p.shard, p.flow, &record{member: c.member, seenAt: p.now, tried: tried})
 	return Decision{
 		Verb: Pass, Reason: ReasonPlaced, To: c.member.address, Header: c.member.passHeader(),
 		Upstream: c.member.name, Wait: c.wait, ReportAge: c.age,
@@ -196,11 +212,11 @@
 }
 
 // search asks the next agent for a flow.
-func (s *Steerer) search(now time.Time, route registrar.Route, h uint64, step int) Decision {
+func (s *Steerer) search(p passage, step int) Decision {
 	if step >= maxSearch {
 		return Decision{Reason: ReasonNoFlow}
 	}
-	m := s.current().nth(now, route, h, step)
+	m := s.current().nth(p.now, p.route, p.hash, step)
 	if m == nil {
 		return Decision{Reason: ReasonNoFlow}
 	}
@@ -211,49 +227,38 @@
 
 // Returned decides about a packet that the agent at an address did not take.
 func (s *Steerer) Returned(now time.Time, from netip.AddrPort, header carrier.HopHeader, seg *carrier.Segment) Decision {
-	route, ok, refusal := s.routeOf(now, seg)
+	p, ok, refusal := s.enter(now, seg)
 	if !ok {
 		return refusal
 	}
-	flow := seg.Flow()
-	h := flow.Hash()
-	sh := &s.shards[h%flowShards]
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
+	defer p.leave()
 	if seg.Opens() {
-		return s.replace(now, sh, route, seg, h, from, header.Reason)
+		return s.replace(p, from, header.Reason)
 	}
 	if header.Searching {
-		return s.search(now, route, h, int(header.Step)+1)
+		return s.search(p, int(header.Step)+1)
 	}
-	if rec := sh.flows[flow]; rec != nil && rec.member.address == from {
-		s.forget(sh, flow)
+	if rec := p.known(); rec != nil && rec.member.address == from {
+		s.forget(p.shard, p.flow)
 	}
-	return s.search(now, route, h, 0)
+	return s.search(p, 0)
 }
 
 // replace offers a flow to another upstream.
-func (s *Steerer) replace(now time.Time, sh *shard, route registrar.Route, seg *carrier.Segment, h uint64, from netip.AddrPort,
-	reason carrier.ReturnReason,
-) Decision {
-	flow := seg.Flow()
-	rec := sh.flows[flow]
+func (s *Steerer) replace(p passage, from netip.AddrPort, reason carrier.ReturnReason) Decision {
+	rec := p.known()
 	if rec == nil || rec.member.address != from {
 		// Another copy of the packet is under way.
 		return Decision{Reason: ReasonSuperseded}
 	}
 	rec.member.load.refused(reason)
-	tried := append(rec.tried, rec.member.id)
-	if len(tried) >= maxPlacements {
-		s.forget(sh, flow)
-		return s.exhausted(seg, reason)
-	}
-	d := s.place(now, sh, route, flow, h, tried)
-	if d.Verb != Pass {
-		s.forget(sh, flow)
-		return s.exhausted(seg, reason)
+	if tried := append(rec.tried, rec.member.id); len(tried) < maxPlacements {
+		if d := s.place(p, tried); d.Verb == Pass {
+			return d
+		}
 	}
-	return d
+	s.forget(p.shard, p.flow)
+	return s.exhausted(p.seg, reason)
 }
 
 // lastAttempt is the number of the last copy that a caller sends of an opening packet.
--- a/internal/route/steerer/view.go
+++ b/internal/route/steerer/view.go
@@ -14,7 +14,6 @@
 type member struct {
 	name    registrar.UpstreamName
 	id      registrar.UpstreamID
-	service registrar.ServiceName
 	tag     carrier.ServiceTag
 	zone    registrar.ZoneName
 	address netip.AddrPort
@@ -29,14 +28,14 @@
 
 // accepting reports whether the agent has said lately that its upstream takes new flows.
 func (m *member) accepting(now time.Time) bool {
-	r, _, _ := m.load.latest(now)
-	return m.open && m.reporting(now) && r.Accepting
+	r, _, fresh := m.load.latest(now)
+	return m.open && fresh && r.Accepting
 }
 
 // reporting reports whether the agent has been heard lately.
 func (m *member) reporting(now time.Time) bool {
-	_, age, ok := m.load.latest(now)
-	return ok && age <= reportLife
+	_, _, fresh := m.load.latest(now)
+	return fresh
 }
 
 // reachable reports whether packets of open flows may reach the upstream.
@@ -174,7 +173,7 @@
 			continue
 		}
 		m := &member{
-			name: u.Name, id: u.ID, service: service, tag: carrier.TagOf(service), zone: u.Zone, address: u.DataAddress,
+			name: u.Name, id: u.ID, tag: carrier.TagOf(service), zone: u.Zone, address: u.DataAddress,
 			open: !u.Retired && !u.Draining && !u.Silent && !u.ZoneWithdrawn, silent: u.Silent, load: &load{},
 		}
 		if before := old.at(m.address); before != nil && before.id == m.id {
