--- a/internal/admit/admitter/admitter.go
+++ b/internal/admit/admitter/admitter.go
@@ -122,7 +122,9 @@
 
 func (a *Admitter) tag() carrier.ServiceTag { return carrier.TagOf(a.Service) }
 
-func (a *Admitter) shard(f registrar.Flow) *shard { return &a.shards[registrar.HashAddress(f.Caller)%flowShards] }
+func (a *Admitter) shard(f registrar.Flow) *shard {
+	return &a.shards[registrar.HashAddress(f.Caller)%flowShards]
+}
 
 // Changes returns a number that grows whenever the report changes.
 func (a *Admitter) Changes() uint64 { return a.changes.Load() }
@@ -325,30 +327,37 @@
 	if v := a.idle.Load(); v > 0 {
 		idle = time.Duration(v)
 	}
+	a.eachFlow(func(sh *shard, f registrar.Flow, fl *flow) {
+		if fl.phase == opening && now.Sub(fl.since) > openTime {
+			a.release(fl)
+			if a.upstream.fellSilent(fl.since) {
+				a.changes.Add(1)
+			}
+			all = append(all, Overdue{Action: returned(fl, carrier.ReturnSilent), Packet: fl.packet})
+			// A late answer still opens the flow here.
+			fl.phase, fl.since, fl.packet = doubtful, now, nil
+		}
+		if fl.pending && now.Sub(fl.since) > pendingTime {
+			a.release(fl)
+		}
+		if expired(now, fl, idle) {
+			a.release(fl)
+			delete(sh.flows, f)
+		}
+	})
+	return all
+}
+
+// eachFlow calls f with each flow, its shard locked. f may delete the flow.
+func (a *Admitter) eachFlow(f func(sh *shard, key registrar.Flow, fl *flow)) {
 	for i := range a.shards {
 		sh := &a.shards[i]
 		sh.mu.Lock()
-		for f, fl := range sh.flows {
-			if fl.phase == opening && now.Sub(fl.since) > openTime {
-				a.release(fl)
-				if a.upstream.fellSilent(fl.since) {
-					a.changes.Add(1)
-				}
-				all = append(all, Overdue{Action: returned(fl, carrier.ReturnSilent), Packet: fl.packet})
-				// A late answer still opens the flow here.
-				fl.phase, fl.since, fl.packet = doubtful, now, nil
-			}
-			if fl.pending && now.Sub(fl.since) > pendingTime {
-				a.release(fl)
-			}
-			if expired(now, fl, idle) {
-				a.release(fl)
-				delete(sh.flows, f)
-			}
+		for key, fl := range sh.flows {
+			f(sh, key, fl)
 		}
 		sh.mu.Unlock()
 	}
-	return all
 }
 
 func expired(now time.Time, fl *flow, idle time.Duration) bool {
@@ -365,30 +374,20 @@
 // Flows returns the number of flows that may still carry packets.
 func (a *Admitter) Flows() int {
 	n := 0
-	for i := range a.shards {
-		sh := &a.shards[i]
-		sh.mu.Lock()
-		for _, fl := range sh.flows {
-			if fl.phase == held || fl.phase == opening {
-				n++
-			}
+	a.eachFlow(func(_ *shard, _ registrar.Flow, fl *flow) {
+		if fl.phase == held || fl.phase == opening {
+			n++
 		}
-		sh.mu.Unlock()
-	}
+	})
 	return n
 }
 
 // forgetFlows drops what is known about the flows of an upstream that has ended.
 func (a *Admitter) forgetFlows() {
-	for i := range a.shards {
-		sh := &a.shards[i]
-		sh.mu.Lock()
-		for f, fl := range sh.flows {
-			a.release(fl)
-			delete(sh.flows, f)
-		}
-		sh.mu.Unlock()
-	}
+	a.eachFlow(func(sh *shard, f registrar.Flow, fl *flow) {
+		a.release(fl)
+		delete(sh.flows, f)
+	})
 }
 
 // Update takes a new configuration.
