Tell an agent's socket its service instead of computing a load report for it

Each packet that found its flow by a search made a whole report, only to read the tag of the service. Headers of hop datagrams are appended in one place.

--- a/internal/cli/runner/stream_agent.go
+++ b/internal/cli/runner/stream_agent.go
@@ -12,6 +12,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/subscriber"
 	"github.com/peridotstage/peridotstage/internal/front/streamer"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/route/carrier"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
@@ -38,7 +39,7 @@
 	front := streamer.NewAgent()
 	front.Admitter, front.Codec, front.Recorder, front.Observer = a, p.Codec(), rec, drops
 	front.DataAddress, front.OutboundAddress, front.UpstreamAddress = cfg.DataAddress, cfg.OutboundAddress, cfg.UpstreamAddress
-	front.CallerPort = cfg.CallerAddress.Port()
+	front.CallerPort, front.Service = cfg.CallerAddress.Port(), carrier.TagOf(cfg.Service)
 	n.subscriber.Enforcers = []subscriber.Enforcer{a, n}
 	n.describe = func(h *leaser.Heartbeat) { h.Announcement = announcement(cfg, a) }
 	checkIns := &checkIns{admitter: a, recorder: rec, changed: func() {
--- a/internal/front/streamer/agent.go
+++ b/internal/front/streamer/agent.go
@@ -39,6 +39,8 @@
 	Codec    Codec
 	Recorder *recorder.Recorder
 	Observer Observer
+	// Service is the service of the upstream.
+	Service carrier.ServiceTag
 	// Latency takes the time of each request at the upstream.
 	Latency func(time.Duration)
 	// DataAddress takes datagrams of entries. The upstream sends its packets to OutboundAddress and takes packets at
@@ -213,7 +215,7 @@
 		if act.Verb == admitter.Answer {
 			f = s.ReverseFlow()
 		}
-		a.data.Send(act.Entry, encoder.AppendHeld(nil, a.Admitter.Report(time.Now()).Service, f))
+		a.data.Send(act.Entry, encoder.AppendHeld(nil, a.Service, f))
 	}
 	a.logRequest(act, s)
 }
--- a/internal/wire/encoder/hop.go
+++ b/internal/wire/encoder/hop.go
@@ -38,6 +38,13 @@
 	binary.BigEndian.PutUint32(b[4:], uint32(h.Service))
 }
 
+// appendHop appends a header to b.
+func appendHop(b []byte, h carrier.HopHeader) []byte {
+	b = append(b, make([]byte, HopHeaderSize)...)
+	PutHop(b[len(b)-HopHeaderSize:], h)
+	return b
+}
+
 // ParseHop returns the header of a datagram and what follows it, which is a part of b.
 func ParseHop(b []byte) (h carrier.HopHeader, rest []byte, err error) {
 	if len(b) < HopHeaderSize {
@@ -55,9 +62,7 @@
 
 // AppendHeld appends to b a datagram which says that an agent holds a flow.
 func AppendHeld(b []byte, service carrier.ServiceTag, f registrar.Flow) []byte {
-	start := len(b)
-	b = append(b, make([]byte, HopHeaderSize)...)
-	PutHop(b[start:], carrier.HopHeader{Kind: carrier.HopHeld, Service: service})
+	b = appendHop(b, carrier.HopHeader{Kind: carrier.HopHeld, Service: service})
 	return appendAddrPort(appendAddrPort(b, f.Caller), f.Service)
 }
 
@@ -71,9 +76,7 @@
 
 // AppendReport appends a report datagram to b.
 func AppendReport(b []byte, r carrier.LoadReport) []byte {
-	start := len(b)
-	b = append(b, make([]byte, HopHeaderSize)...)
-	PutHop(b[start:], carrier.HopHeader{Kind: carrier.HopReport, Service: r.Service})
+	b = appendHop(b, carrier.HopHeader{Kind: carrier.HopReport, Service: r.Service})
 	var flags byte
 	if r.Accepting {
 		flags |= acceptingFlag
