--- a/internal/wire/encoder/heartbeat.go
+++ b/internal/wire/encoder/heartbeat.go
@@ -106,11 +106,14 @@
 	// encoded and packed are the encodings of state; packed is nil until it is needed.
 	state           *registrar.State
 	encoded, packed []byte
-	// updates is the packed encoding of the updates from one revision to another.
-	updates          []byte
-	updateFrom, upTo registrar.Revision
+	// updates is the packed encoding of the updates of a span.
+	updates []byte
+	span    span
 }
 
+// span is what a list of updates leads from and to.
+type span struct{ first, last registrar.Revision }
+
 func (e *ReplyEncoder) encodeState(st *registrar.State, pack bool) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -130,14 +133,49 @@
 	return e.packed, nil
 }
 
-// pack returns encoded updates as one compressed list.
-func (e *ReplyEncoder) pack(updates []registrar.Update, encoded [][]byte) []byte {
-	from, to := updates[0].Revision, updates[len(updates)-1].Revision
+// putUpdates puts updates into a reply, packed if the node reads that and they are large.
+func (e *ReplyEncoder) putUpdates(m *messenger.HeartbeatReply, updates []registrar.Update, packed bool) error {
+	if len(updates) == 0 {
+		return nil
+	}
+	of := span{updates[0].Revision, updates[len(updates)-1].Revision}
+	if packed {
+		if m.PackedUpdates = e.keptUpdates(of); m.PackedUpdates != nil {
+			return nil
+		}
+	}
+	size := 0
+	for _, u := range updates {
+		b, err := json.Marshal(u)
+		if err != nil {
+			return eris.Wrap(err, "encode update")
+		}
+		m.Updates = append(m.Updates, b)
+		size += len(b)
+	}
+	if packed && size >= packFrom {
+		m.PackedUpdates, m.Updates = e.packUpdates(of, m.Updates), nil
+	}
+	return nil
+}
+
+// keptUpdates returns the packed updates of a span if they are kept, or nil.
+func (e *ReplyEncoder) keptUpdates(of span) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.span != of {
+		return nil
+	}
+	return e.updates
+}
+
+// packUpdates packs encoded updates into one list, and keeps it.
+func (e *ReplyEncoder) packUpdates(of span, encoded [][]byte) []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.updates == nil || e.updateFrom != from || e.upTo != to {
+	if e.span != of {
 		list := append(append([]byte{'['}, bytes.Join(encoded, []byte{','})...), ']')
-		e.updates, e.updateFrom, e.upTo = compressor.Compress(list), from, to
+		e.updates, e.span = compressor.Compress(list), of
 	}
 	return e.updates
 }
@@ -149,20 +187,8 @@
 		Protocol: Protocol, Revision: uint64(r.Revision), AgeMicros: uint64(r.Age.Microseconds()), Granted: r.Granted,
 		WantEvidence: r.WantEvidence,
 	}
-	size := 0
-	for _, u := range r.Updates {
-		b, err := json.Marshal(u)
-		if err != nil {
-			return nil, eris.Wrap(err, "encode update")
-		}
-		m.Updates = append(m.Updates, b)
-		size += len(b)
-	}
-	if packed && size >= packFrom {
-		m.Updates, m.PackedUpdates = nil, e.pack(r.Updates, m.Updates)
-	}
-	if r.State == nil {
-		return m, nil
+	if err := e.putUpdates(m, r.Updates, packed); err != nil || r.State == nil {
+		return m, err
 	}
 	b, err := e.encodeState(r.State, packed)
 	if packed {
