--- a/internal/cli/commander/explain.go
+++ b/internal/cli/commander/explain.go
@@ -73,7 +73,7 @@
 	if flow != "" {
 		from, to, _ := strings.Cut(flow, ",")
 		if q.Flow.Caller, err = netip.ParseAddrPort(from); err == nil {
-			q.Flow.Address, err = netip.ParseAddrPort(to)
+			q.Flow.Service, err = netip.ParseAddrPort(to)
 		}
 	}
 	return q, eris.Wrapf(err, "--flow %q, want CALLER,ADDRESS, each as IP:PORT", flow)
--- a/internal/report/explainer/explainer.go
+++ b/internal/report/explainer/explainer.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 const (
@@ -40,7 +41,7 @@
 // Query says what to explain: a request, a flow, or all flows of a caller's address that were refused.
 type Query struct {
 	Request RequestID
-	Flow    Flow
+	Flow    registrar.Flow
 	Caller  netip.Addr
 }
 
@@ -94,9 +95,9 @@
 }
 
 // findFlows returns the flows that a query is about, and the line that names the request if there is one.
-func findFlows(logs []Log, q Query) (map[Flow]bool, *Line, error) {
-	flows := map[Flow]bool{}
-	if q.Flow.Valid() {
+func findFlows(logs []Log, q Query) (map[registrar.Flow]bool, *Line, error) {
+	flows := map[registrar.Flow]bool{}
+	if q.Flow != (registrar.Flow{}) {
 		flows[q.Flow] = true
 		return flows, nil, nil
 	}
@@ -164,7 +165,7 @@
 	var found []*Line
 	standing := map[string]checkIn{}
 	err := each(logs, func(l *Line) {
-		if l.flow().Valid() || !machines[baseName(l.Machine)] || routine[l.Event] {
+		if l.flow() != (registrar.Flow{}) || !machines[baseName(l.Machine)] || l.Event == recorder.TrustedNetwork.Number {
 			return
 		}
 		if l.Event == recorder.UpstreamHeard.Number {
@@ -215,11 +216,6 @@
 	return name
 }
 
-// routine events say nothing about a request.
-var routine = map[int]bool{
-	recorder.TrustedNetwork.Number: true,
-}
-
 // conclude says how a request or flow ended.
 func conclude(p *Path) string {
 	var begun, answered, refused *Line
--- a/internal/report/explainer/explainer_test.go
+++ b/internal/report/explainer/explainer_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/peridotstage/peridotstage/internal/report/explainer"
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // recorded is a log of a played day in testdata, cut to the machines of one request.
@@ -33,7 +34,7 @@
 
 // TestExplain guards that a request's id leads to its cause for the three kinds of failed request of docs/OPERATIONS.md.
 func TestExplain(t *testing.T) {
-	flow := explainer.Flow{Caller: netip.MustParseAddrPort("100.64.0.35:1072"), Address: netip.MustParseAddrPort("198.18.0.1:8443")}
+	flow := registrar.Flow{Caller: netip.MustParseAddrPort("100.64.0.35:1072"), Service: netip.MustParseAddrPort("198.18.0.1:8443")}
 	for _, tc := range []struct {
 		log     string
 		query   explainer.Query
--- a/internal/report/explainer/line.go
+++ b/internal/report/explainer/line.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // maxLine bounds a line of a log in bytes. Lines about the membership of control are the longest.
@@ -19,20 +21,11 @@
 // RequestID is the id that a caller gave a request.
 type RequestID string
 
-// Flow names a flow by the caller's end and the address that it called.
-type Flow struct {
-	Caller, Address netip.AddrPort
-}
-
-// Valid reports whether both ends are known.
-func (f Flow) Valid() bool { return f.Caller.IsValid() && f.Address.IsValid() }
-
 // Line is one line of a log.
 type Line struct {
 	At time.Time
 	// Machine is the machine or process that wrote the line.
 	Machine string
-	Event   int
 	// Text is the JSON object as it was written.
 	Text string
 
@@ -43,7 +36,7 @@
 type fields struct {
 	TS       float64        `json:"ts"`
 	Message  string         `json:"msg"`
-	Number   int            `json:"event"`
+	Event    int            `json:"event"`
 	Request  RequestID      `json:"request"`
 	Caller   netip.AddrPort `json:"caller"`
 	Address  netip.AddrPort `json:"address"`
@@ -57,7 +50,8 @@
 	Draining bool           `json:"draining"`
 }
 
-func (l *Line) flow() Flow { return Flow{Caller: l.Caller, Address: l.Address} }
+// flow returns the flow that the line is about; the zero value if it is about none.
+func (l *Line) flow() registrar.Flow { return registrar.Flow{Caller: l.Caller, Service: l.Address} }
 
 // scan calls f with each line of a log that is a numbered event. Other lines are skipped, such as those of the runtime. Text
 // before the JSON object ends with the name of the machine, as log collectors put it; without such text machine is the name.
@@ -70,14 +64,14 @@
 			continue
 		}
 		l := &Line{Machine: machine, Text: lines.Text()[len(prefix):]}
-		if json.Unmarshal([]byte(l.Text), &l.fields) != nil || l.Number == 0 {
+		if json.Unmarshal([]byte(l.Text), &l.fields) != nil || l.Event == 0 {
 			continue
 		}
 		if words := strings.Fields(prefix); len(words) > 0 {
 			l.Machine = words[len(words)-1]
 		}
 		seconds, fraction := math.Modf(l.TS)
-		l.At, l.Event = time.Unix(int64(seconds), int64(fraction*1e9)), l.Number
+		l.At = time.Unix(int64(seconds), int64(fraction*1e9))
 		f(l)
 	}
 	return eris.Wrapf(lines.Err(), "read log of %s", machine)
