Wait for the planned stop, and reload stream settings, in one place each

Entries, agents and both stream roles each logged their start, waited for the signal and began the stop by themselves; the stream roles had the same two setters. What both stream roles share stands in stream.go now. An agent logs the beginning of its stop before it closes its ledgers instead of after.

--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -94,15 +94,10 @@
 	g.run((&connector.Server{Address: cfg.ControlAddress, TLS: keys.Server, Claims: a.owner, Ledgers: a.handover.holder}).Run)
 	g.run(a.handover.recover)
 	g.run(a.expire)
-	rec.Info(recorder.MachineStarted)
-	select {
-	case <-ctx.Done():
-	case <-g.ctx.Done():
+	if !n.awaitStop(ctx, g) {
 		return g.wait()
 	}
-	n.stopping.Store(true)
 	a.handover.holder.Close()
-	rec.Info(recorder.StopBegun)
 	n.heartbeatNow()
 	awaitNoNewFlows(g, a.tracker)
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.drain.get())
--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -64,14 +64,9 @@
 	g.run(n.run)
 	g.run(reload.run)
 	g.run(e.Run)
-	rec.Info(recorder.MachineStarted)
-	select {
-	case <-ctx.Done():
-	case <-g.ctx.Done():
+	if !n.awaitStop(ctx, g) {
 		return g.wait()
 	}
-	n.stopping.Store(true)
-	rec.Info(recorder.StopBegun)
 	g.pause(linger.get())
 	sendFinalBatch(g, n, meter)
 	g.cancel(nil)
--- a/internal/cli/runner/node.go
+++ b/internal/cli/runner/node.go
@@ -195,6 +195,20 @@
 	return d
 }
 
+// awaitStop says that the machine has started, and waits until ctx ends, which begins a planned stop. It returns false if the group
+// has ended by itself.
+func (n *node) awaitStop(ctx context.Context, g *group) bool {
+	n.recorder.Info(recorder.MachineStarted)
+	select {
+	case <-ctx.Done():
+	case <-g.ctx.Done():
+		return false
+	}
+	n.stopping.Store(true)
+	n.recorder.Info(recorder.StopBegun)
+	return true
+}
+
 // lastHeartbeat reports the end of the machine to the first control instance that answers.
 func (n *node) lastHeartbeat(ctx context.Context) {
 	for _, c := range n.clients.list() {
--- a/internal/cli/runner/platform.go
+++ b/internal/cli/runner/platform.go
@@ -48,7 +48,11 @@
 	httpStopTime = time.Second
 )
 
-// serveHTTP serves a handler at an address until ctx ends.
+// serving returns a function that serves a handler at an address until its context ends.
+func serving(address netip.AddrPort, h http.Handler) func(context.Context) error {
+	return func(ctx context.Context) error { return serveHTTP(ctx, address, h) }
+}
+
 func serveHTTP(ctx context.Context, address netip.AddrPort, h http.Handler) error {
 	ln, err := net.Listen("tcp", address.String())
 	if err != nil {
--- a/internal/cli/runner/reload_test.go
+++ b/internal/cli/runner/reload_test.go
@@ -17,8 +17,8 @@
 	requireSetters(t, entrySetters(&node{}, &span{}))
 	requireSetters(t, (&agent{}).setters())
 	requireSetters(t, controlSetters(&burner.Collector{}))
-	requireSetters(t, streamEntrySetters(&node{}, &span{}))
-	requireSetters(t, streamAgentSetters(&node{}, &span{}))
+	requireSetters(t, streamSetters[parser.StreamEntry](&node{}, &span{}))
+	requireSetters(t, streamSetters[parser.StreamAgent](&node{}, &span{}))
 	requireSetters(t, openControlSetters())
 }
 
--- a/internal/cli/runner/stream.go
+++ b/internal/cli/runner/stream.go
@@ -16,6 +16,13 @@
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
+const (
+	// farewellTime bounds the last heartbeat of a machine that stops.
+	farewellTime = 500 * time.Millisecond
+	// lingerPoll is how often a machine that stops looks whether it is idle.
+	lingerPoll = 100 * time.Millisecond
+)
+
 // newStreamNode returns the node of an entry or agent of stream services, on a trusted network.
 func newStreamNode(cfg parser.StreamNode, role registrar.Role, rec *recorder.Recorder) (*node, error) {
 	rec.Warn(recorder.TrustedNetwork)
@@ -31,6 +38,43 @@
 	return n, nil
 }
 
+// streamSettings are the settings of an entry or agent of stream services.
+type streamSettings interface{ Common() parser.StreamNode }
+
+// streamSetters put the fields into force that entries and agents of stream services share and can reload.
+func streamSetters[T streamSettings](n *node, linger *span) setters[T] {
+	return setters[T]{
+		"linger": func(cfg T) { linger.set(cfg.Common().Linger) },
+		"seeds":  func(cfg T) { n.clients.add(cfg.Common().Control()) },
+	}
+}
+
+// lingering runs a machine of stream services until ctx ends, and lets it go on forwarding for a time after that, or until it
+// is idle. begin is called when the planned stop begins.
+func lingering(ctx context.Context, n *node, linger *span, begin func(), idle func() bool,
+	run ...func(context.Context) error,
+) error {
+	g := newGroup(context.WithoutCancel(ctx))
+	g.run(n.run)
+	for _, f := range run {
+		g.run(f)
+	}
+	if !n.awaitStop(ctx, g) {
+		return g.wait()
+	}
+	begin()
+	n.heartbeatNow()
+	for end := time.Now().Add(linger.get()); time.Now().Before(end) && g.ctx.Err() == nil && !idle(); {
+		g.pause(lingerPoll)
+	}
+	// Control learns at once that nothing is held here any more.
+	farewell, cancel := context.WithTimeout(g.ctx, farewellTime)
+	defer cancel()
+	n.lastHeartbeat(farewell)
+	g.cancel(nil)
+	return g.wait()
+}
+
 // serveMetrics returns a function that serves metrics. The traffic does not depend on them, so a role goes on without.
 func serveMetrics(e *exporter.Exporter, rec *recorder.Recorder) func(context.Context) error {
 	return func(ctx context.Context) error {
--- a/internal/cli/runner/stream_agent.go
+++ b/internal/cli/runner/stream_agent.go
@@ -67,12 +67,12 @@
 	}
 	linger := &span{}
 	linger.set(cfg.Linger)
-	reload.setters = streamAgentSetters(n, linger)
+	reload.setters = streamSetters[parser.StreamAgent](n, linger)
 	stop := func() {
 		a.Stop()
 		front.Notify()
 	}
-	return lingering(ctx, n, rec, linger, stop, func() bool { return a.Flows() == 0 },
+	return lingering(ctx, n, linger, stop, func() bool { return a.Flows() == 0 },
 		front.Run, reload.run, serveMetrics(e, rec), serving(cfg.ReadyAddress, readyHandler(ready)),
 		serving(cfg.CheckInAddress, p.CheckIns(checkIns)))
 }
@@ -120,10 +120,3 @@
 	c.admitter.Leave(name)
 	c.changed()
 }
-
-func streamAgentSetters(n *node, linger *span) setters[parser.StreamAgent] {
-	return setters[parser.StreamAgent]{
-		"linger": func(cfg parser.StreamAgent) { linger.set(cfg.Linger) },
-		"seeds":  func(cfg parser.StreamAgent) { n.clients.add(cfg.Control()) },
-	}
-}
--- a/internal/cli/runner/stream_entry.go
+++ b/internal/cli/runner/stream_entry.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -60,56 +58,7 @@
 	}
 	linger := &span{}
 	linger.set(cfg.Linger)
-	reload.setters = streamEntrySetters(n, linger)
-	return lingering(ctx, n, rec, linger, func() {}, func() bool { return false },
+	reload.setters = streamSetters[parser.StreamEntry](n, linger)
+	return lingering(ctx, n, linger, func() {}, func() bool { return false },
 		front.Run, reload.run, serveMetrics(e, rec), serving(cfg.ReadyAddress, readyHandler(ready)))
 }
-
-// serving returns a function that serves a handler at an address.
-func serving(address netip.AddrPort, h http.Handler) func(context.Context) error {
-	return func(ctx context.Context) error { return serveHTTP(ctx, address, h) }
-}
-
-// lingering runs a machine of stream services until ctx ends, and lets it go on forwarding for a time after that, or until it
-// is idle. begin is called when the planned stop begins.
-func lingering(ctx context.Context, n *node, rec *recorder.Recorder, linger *span, begin func(), idle func() bool,
-	run ...func(context.Context) error,
-) error {
-	g := newGroup(context.WithoutCancel(ctx))
-	g.run(n.run)
-	for _, f := range run {
-		g.run(f)
-	}
-	rec.Info(recorder.MachineStarted)
-	select {
-	case <-ctx.Done():
-	case <-g.ctx.Done():
-		return g.wait()
-	}
-	n.stopping.Store(true)
-	rec.Info(recorder.StopBegun)
-	begin()
-	n.heartbeatNow()
-	for end := time.Now().Add(linger.get()); time.Now().Before(end) && g.ctx.Err() == nil && !idle(); {
-		g.pause(lingerPoll)
-	}
-	// Control learns at once that nothing is held here any more.
-	farewell, cancel := context.WithTimeout(g.ctx, farewellTime)
-	defer cancel()
-	n.lastHeartbeat(farewell)
-	g.cancel(nil)
-	return g.wait()
-}
-
-// farewellTime bounds the last heartbeat of a machine that stops.
-const farewellTime = 500 * time.Millisecond
-
-// lingerPoll is how often a machine that stops looks whether it is idle.
-const lingerPoll = 100 * time.Millisecond
-
-func streamEntrySetters(n *node, linger *span) setters[parser.StreamEntry] {
-	return setters[parser.StreamEntry]{
-		"linger": func(cfg parser.StreamEntry) { linger.set(cfg.Linger) },
-		"seeds":  func(cfg parser.StreamEntry) { n.clients.add(cfg.Control()) },
-	}
-}
--- a/internal/setting/parser/stream.go
+++ b/internal/setting/parser/stream.go
@@ -50,6 +50,9 @@
 	Linger        Duration       `json:"linger" rule:"linger" default:"3s" reload:"yes" doc:"how long the machine goes on forwarding at a planned stop after it has reported that it is not ready"`
 }
 
+// Common returns the settings that entries and agents share.
+func (n StreamNode) Common() StreamNode { return n }
+
 // StreamEntry holds the settings of an entry of stream services.
 type StreamEntry struct {
 	StreamNode
