--- a/internal/admit/admitter/admitter_test.go
+++ b/internal/admit/admitter/admitter_test.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -184,6 +185,23 @@
 	})
 }
 
+// TestHugeColdRate guards against a cold rate too large for an int that leaves a cold upstream without any flow.
+func TestHugeColdRate(t *testing.T) {
+	for _, rate := range []float64{1e300, math.MaxInt64} {
+		a := newAdmitter(t)
+		w := registrar.NewWorld()
+		require.NoError(t, w.Apply(registrar.Update{Revision: 1, Changes: []registrar.Change{{
+			Kind: registrar.PutService, Service: &registrar.Service{Name: "desk", Transport: registrar.TransportStream, ColdRate: rate},
+		}}}))
+		a.Update(w)
+		cold := checkIn("i-1", 2)
+		cold.ColdRemaining = 5000
+		require.NoError(t, a.CheckIn(start, cold))
+		require.NotZero(t, a.Report(start).Allowance)
+		require.Equal(t, Deliver, a.offer(start, 1).Disposition)
+	}
+}
+
 // TestReturnedZone guards against full load on an upstream that turned cold while its zone was withdrawn.
 func TestReturnedZone(t *testing.T) {
 	a := newAdmitter(t)
--- a/internal/admit/admitter/upstream.go
+++ b/internal/admit/admitter/upstream.go
@@ -99,8 +99,9 @@
 // allowanceLocked returns how many new flows a cold upstream may get now. It stays one below the bound, because a retransmitted
 // opening packet counts against the bound as well.
 func (u *upstream) allowanceLocked(now time.Time, a *Admitter) int {
-	limit := int(math.Floor(u.coldRate*a.ColdFactor)) + int(a.ColdSlack) - 1
-	return max(limit-len(u.admittedAt), 0)
+	// The conversion of a float that an int does not hold depends on the processor.
+	perSecond := min(max(math.Floor(u.coldRate*a.ColdFactor), 0), math.MaxUint16)
+	return max(int(perSecond)+int(a.ColdSlack)-1-len(u.admittedAt), 0)
 }
 
 // trimAdmittedLocked removes the admissions that are older than coldWindow.
--- a/internal/control/planner/replace.go
+++ b/internal/control/planner/replace.go
@@ -43,6 +43,9 @@
 		if s.Name == "" || services[s.Name] {
 			return eris.Wrapf(registrar.ErrInvalid, "service %q has no name or is given twice", s.Name)
 		}
+		if s.ColdRate < 0 {
+			return eris.Wrapf(registrar.ErrInvalid, "service %q: cold rate %g, allowed are 0 and more", s.Name, s.ColdRate)
+		}
 		services[s.Name] = true
 	}
 	addresses := map[netip.AddrPort]bool{}
