--- a/internal/control/driver/store.go
+++ b/internal/control/driver/store.go
@@ -29,7 +29,7 @@
 	id      replicator.MemberID
 	journal journaler.Journal
 	ballot  elector.Ballot
-	// mu serializes saving the applier's own snapshots with saving those received from the leader.
+	// mu serializes saving the applier's own snapshots with saving those received from the leader, and guards snapshotIndex.
 	mu            sync.Mutex
 	snapshotIndex replicator.Index
 }
@@ -65,7 +65,7 @@
 
 // reload loads the state again after a failed write.
 func (s *store) reload() (replicator.State, error) {
-	s.journal = journaler.Journal{Folder: s.journal.Folder, Syncer: s.journal.Syncer}
+	s.journal = journaler.Journal{Folder: s.journal.Folder, SegmentSize: s.journal.SegmentSize, Syncer: s.journal.Syncer}
 	return s.load()
 }
 
@@ -104,7 +104,10 @@
 	if err := s.journal.Open(r.add); err != nil {
 		return state, err
 	}
-	s.snapshotIndex, s.ballot, state.Ballot = state.Snapshot.Index, r.ballot, r.ballot
+	s.ballot, state.Ballot = r.ballot, r.ballot
+	s.mu.Lock()
+	s.snapshotIndex = state.Snapshot.Index
+	s.mu.Unlock()
 	continues, err := r.continues(state.Snapshot.Position)
 	if err != nil {
 		return state, err
--- a/internal/store/journaler/journal.go
+++ b/internal/store/journaler/journal.go
@@ -194,11 +194,9 @@
 	if err != nil {
 		return eris.Wrap(err, "create segment")
 	}
-	if _, err := f.Write(encodeSegmentHeader(id)); err != nil {
-		return eris.Wrap(err, "write segment header")
-	}
-	if err := j.Syncer.Sync(f); err != nil {
-		return eris.Wrap(err, "sync segment")
+	if err := j.writeHeader(f, id); err != nil {
+		_ = f.Close()
+		return err
 	}
 	if j.file != nil {
 		_ = j.file.Close()
@@ -208,6 +206,14 @@
 	return syncFolder(j.Folder, j.Syncer)
 }
 
+// writeHeader writes the header of a new segment and makes it durable.
+func (j *Journal) writeHeader(f *os.File, id segmentID) error {
+	if _, err := f.Write(encodeSegmentHeader(id)); err != nil {
+		return eris.Wrap(err, "write segment header")
+	}
+	return eris.Wrap(j.Syncer.Sync(f), "sync segment")
+}
+
 // Append adds records to the journal. They are durable when Append returns. mark is the highest mark among them.
 func (j *Journal) Append(mark Mark, records ...Record) error {
 	j.mu.Lock()
