Use a connection to an upstream for one request only

Cause: connections of requests that may be repeated were used again. An upstream that sends an answer twice, the second time late, answered the next request with it: TestAnswerTwice got the answer to /0 for /1. A copy that arrives while the connection is idle was noticed, but counted as a restart of the upstream, which then got less load.

Ruled out: requests that may run once only (a new connection each), stream flows (the upstream and the caller write the bytes), answers that break off (TestBrokenAnswer passes before).

Change: a connection carries one request, and is then kept only to learn of a restart from its end. Each repeatable request costs a connection on the machine of the agent.

--- a/internal/front/responder/exchange.go
+++ b/internal/front/responder/exchange.go
@@ -65,9 +65,7 @@
 
 // Forward sends the request to the upstream and copies the answer to the caller.
 func (x *exchange) Forward(ctx context.Context) dispatcher.ForwardResult {
-	// An idle connection may be broken without notice, and a request sent on it would end with an unknown outcome. Requests
-	// that cannot be retried therefore use a new connection.
-	conn, err := x.pool.get(ctx, x.class != dispatcher.Safe)
+	conn, err := x.pool.dial(ctx)
 	if err != nil {
 		return dispatcher.ForwardResult{Result: lostOrAbandoned(ctx)}
 	}
@@ -77,9 +75,9 @@
 	}
 	// HTTP/1.1 has no other way to cancel a request than to close the connection.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	result, reusable := x.roundTrip(ctx, conn)
-	if stop() && reusable {
-		x.pool.put(conn)
+	result, staysOpen := x.roundTrip(ctx, conn)
+	if stop() && staysOpen {
+		x.pool.watch(conn)
 	} else {
 		_ = conn.Close()
 	}
@@ -93,7 +91,7 @@
 	return limiter.Lost
 }
 
-func (x *exchange) roundTrip(ctx context.Context, conn *upstreamConn) (result dispatcher.ForwardResult, reusable bool) {
+func (x *exchange) roundTrip(ctx context.Context, conn *upstreamConn) (result dispatcher.ForwardResult, staysOpen bool) {
 	result.Reached = true
 	out := x.upstreamRequest()
 	callerBody := &bodyReader{Reader: out.Body}
--- a/internal/front/responder/pool.go
+++ b/internal/front/responder/pool.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/netip"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -31,11 +30,12 @@
 	// idleConnTimeout is how long an idle connection is kept. Servers commonly keep idle connections for 5 s or longer, so a
 	// connection that the upstream closes earlier indicates a restart.
 	idleConnTimeout = 2 * time.Second
-	// maxIdleConns bounds the idle connections; further ones are closed.
-	maxIdleConns = 16
+	// maxIdleConns bounds the idle connections; further ones are closed. One is enough to learn of a restart, and the others replace it
+	// when its time has passed.
+	maxIdleConns = 4
 )
 
-// Pool holds the HTTP/1.1 connections to one upstream. The exported fields are set before first use.
+// Pool opens the HTTP/1.1 connections to one upstream, and watches some of them after their request for the end of the upstream. The exported fields are set before first use.
 type Pool struct {
 	Address netip.AddrPort
 	// OnUnexpectedClose is called when the upstream ends an idle connection unexpectedly.
@@ -51,10 +51,6 @@
 type upstreamConn struct {
 	net.Conn
 	reader *bufio.Reader
-	// watchDone is closed when the watch goroutine of the idle connection has returned.
-	watchDone chan struct{}
-	// ended is true if the watch goroutine found that the connection has ended. It may be read once watchDone is closed.
-	ended bool
 	// idleTimer closes the connection when it has been idle for idleConnTimeout.
 	idleTimer *time.Timer
 }
@@ -67,23 +63,8 @@
 	return c.Conn.Write(b)
 }
 
-// get returns an idle connection, or a new one if none is idle or fresh is true.
-func (p *Pool) get(ctx context.Context, fresh bool) (*upstreamConn, error) {
-	for !fresh {
-		p.mu.Lock()
-		n := len(p.idle)
-		if n == 0 {
-			p.mu.Unlock()
-			break
-		}
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		p.mu.Unlock()
-		if c.stopWatch() {
-			return c, nil
-		}
-		_ = c.Close()
-	}
+// dial opens a connection for one request.
+func (p *Pool) dial(ctx context.Context) (*upstreamConn, error) {
 	raw, err := p.dialer().DialContext(ctx, "tcp", p.Address.String())
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to upstream")
@@ -112,27 +93,24 @@
 	}
 }
 
-// put returns a connection to the pool for later requests.
-func (p *Pool) put(c *upstreamConn) {
+// watch keeps a connection whose request has been answered, to learn of a restart of the upstream from its end. It is used for no
+// further request: an upstream that sends an answer twice, the second time late, would answer another caller with it.
+func (p *Pool) watch(c *upstreamConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle) >= maxIdleConns || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
-	c.watchDone = make(chan struct{})
 	c.idleTimer = time.AfterFunc(idleConnTimeout, func() { p.removeIdle(c) })
 	p.idle = append(p.idle, c)
-	go p.watch(c)
+	go p.awaitEnd(c)
 }
 
-// watch waits until an idle connection ends or stopWatch is called.
-func (p *Pool) watch(c *upstreamConn) {
-	_, err := c.Conn.Read(make([]byte, 1))
-	// Only the deadline of stopWatch leaves the connection open; ETIMEDOUT of the kernel means that it has ended.
-	c.ended = !errors.Is(err, os.ErrDeadlineExceeded)
-	close(c.watchDone)
-	if c.ended && p.removeIdle(c) && p.OnUnexpectedClose != nil {
+// awaitEnd waits until an idle connection ends or is closed. Bytes that nobody asked for are no sign of a restart.
+func (p *Pool) awaitEnd(c *upstreamConn) {
+	n, _ := c.Conn.Read(make([]byte, 1))
+	if p.removeIdle(c) && n == 0 && p.OnUnexpectedClose != nil {
 		p.OnUnexpectedClose()
 	}
 }
@@ -152,17 +130,6 @@
 	return false
 }
 
-// stopWatch stops the watch goroutine. It returns false if the connection cannot be used.
-func (c *upstreamConn) stopWatch() bool {
-	c.idleTimer.Stop()
-	// A deadline in the past ends the read in watch.
-	if c.SetReadDeadline(time.Unix(1, 0)) != nil {
-		return false
-	}
-	<-c.watchDone
-	return !c.ended && c.SetReadDeadline(time.Time{}) == nil
-}
-
 // CloseIdle closes all idle connections. It is called when a connection to the same upstream has gone silent.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
