--- a/internal/route/steerer/load.go
+++ b/internal/route/steerer/load.go
@@ -78,6 +78,13 @@
 	return l.newest, age, !l.reportedAt.IsZero() && age <= reportLifetime
 }
 
+// failures returns the share of failed requests in the newest report.
+func (l *load) failures() carrier.FailureShare {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.newest.Failures
+}
+
 // estimate is what a new flow may expect at an upstream.
 type estimate struct {
 	// expected is the expected time of a request, with its wait for a slot.
@@ -176,6 +183,10 @@
 
 // failureThreshold returns the share of failed requests above which an upstream of the pool is failing.
 func (p *pool) failureThreshold(now time.Time) carrier.FailureShare {
+	// Usually no upstream fails, and a placement need not compare them.
+	if !slices.ContainsFunc(p.members, func(m *member) bool { return ejector.Fails(m.load.failures()) }) {
+		return carrier.AllFailed
+	}
 	all := make([]ejector.Upstream, 0, len(p.members))
 	for _, m := range p.members {
 		if r, _, fresh := m.load.latest(now); fresh && m.takesNewFlows && r.Accepting {
