Pace answers to operators on slow links

Ruled out: load reports, the processor, reads on machines with fast links.

Change: answers to operators together use at most half of the link, whose rate is a setting (link_mbps, filled in by the platform).

--- a/internal/cli/runner/open_control.go
+++ b/internal/cli/runner/open_control.go
@@ -9,6 +9,7 @@
 	"github.com/peridotstage/peridotstage/internal/control/planner"
 	"github.com/peridotstage/peridotstage/internal/front/administrator"
 	"github.com/peridotstage/peridotstage/internal/front/connector"
+	"github.com/peridotstage/peridotstage/internal/front/pacer"
 	"github.com/peridotstage/peridotstage/internal/report/recorder"
 	"github.com/peridotstage/peridotstage/internal/setting/parser"
 	"github.com/peridotstage/peridotstage/internal/world/registrar"
@@ -60,7 +61,7 @@
 	orders := &administrator.Orders{Log: c.log, World: c.ledger.World, Zones: cfg.Zones, Recorder: rec}
 	g := newGroup(ctx)
 	c.start(g, &connector.Server{Heartbeats: c.granter(), Address: cfg.LocalControl})
-	g.run(serveFunc(cfg.OperatorAddress, p.Operators(orders)))
+	g.run(serveFunc(cfg.OperatorAddress, &pacer.Handler{Next: p.Operators(orders), LinkMbps: cfg.LinkMbps}))
 	g.run(r.run)
 	g.run(u.run)
 	g.run(reload.run)
--- a/internal/setting/parser/rule.go
+++ b/internal/setting/parser/rule.go
@@ -32,6 +32,8 @@
 	// maxColdFactor and maxColdSlack only catch typing errors.
 	maxColdFactor = 1000
 	maxColdSlack  = 1_000_000
+	// maxLinkMbps only catches typing errors.
+	maxLinkMbps = 1_000_000
 	// maxShare corresponds to 26 s of failure in a month.
 	maxShare = 0.99999
 )
@@ -65,6 +67,7 @@
 	"port":       {"a port from 1 to 65535", func(v any) bool { p, ok := v.(Port); return ok && p > 0 }},
 	"bool":       {"true or false", func(v any) bool { _, ok := v.(bool); return ok }},
 	"factor":     {"0 to 1000", func(v any) bool { f, ok := v.(float64); return ok && f >= 0 && f <= maxColdFactor }},
+	"link":       {"0 to 1000000", func(v any) bool { f, ok := v.(float64); return ok && f >= 0 && f <= maxLinkMbps }},
 	"count":      {"0 to 1000000", func(v any) bool { n, ok := v.(uint32); return ok && n <= maxColdSlack }},
 	"flow_quiet": {"a duration from 100ms to 5m", durationBetween(minFlowQuiet, maxFlowQuiet)},
 	"drain":      {"a duration from 1s to 1h", durationBetween(time.Second, maxDrain)},
--- a/internal/setting/parser/stream.go
+++ b/internal/setting/parser/stream.go
@@ -36,6 +36,7 @@
 	DataFolder      string                                      `json:"data_folder" rule:"file" default:"" doc:"folder of the durable state; without one the instance keeps its state in memory and has no vote"`
 	LocalControl    netip.AddrPort                              `json:"local_control_address" rule:"address" default:"" doc:"local address to bind for control_address where something else maps it; without it control_address itself is bound"`
 	OperatorAddress netip.AddrPort                              `json:"operator_address" rule:"address" doc:"where operators are served over HTTP, in the form of the platform"`
+	LinkMbps        float64                                     `json:"link_mbps" rule:"link" default:"0" doc:"rate of the machine's link in Mbit/s, half of which answers to operators may use; 0 for no bound"`
 	Zones           map[registrar.ZoneName]registrar.RegionName `json:"zones" rule:"name" min:"1" max:"1000" doc:"region of each zone"`
 }
 
