Space the load reports of agents by the link of the entry

Cause: each agent reported to each entry up to 100 times a second.

Change: a subscription says the shortest time between two reports, at which the reports of all agents use at most a fifth of the entry's link (setting link_mbps), and never more than the 100 ms at which agents report anyway.

--- a/internal/front/streamer/agent.go
+++ b/internal/front/streamer/agent.go
@@ -56,14 +56,23 @@
 	upstreamFails bool
 	// wake has an element if a report is to be sent before reportInterval has passed.
 	wake chan struct{}
-	// mu guards subscribers, which maps the address of each entry to the time its subscription ends.
+	// mu guards subscribers, by the address of the entry.
 	mu          sync.Mutex
-	subscribers map[netip.AddrPort]time.Time
+	subscribers map[netip.AddrPort]*subscriber
+}
+
+// subscriber is an entry that gets load reports.
+type subscriber struct {
+	// endsAt is when the subscription ends unless it is renewed.
+	endsAt time.Time
+	// spacing is the shortest time between two reports that the entry asks for, and reportDueAt when the next one may be sent.
+	spacing     carrier.ReportTicks
+	reportDueAt time.Time
 }
 
 // NewAgent returns an agent whose exported fields are to be set.
 func NewAgent() *Agent {
-	return &Agent{wake: make(chan struct{}, 1), subscribers: map[netip.AddrPort]time.Time{}}
+	return &Agent{wake: make(chan struct{}, 1), subscribers: map[netip.AddrPort]*subscriber{}}
 }
 
 // Run opens the sockets and serves until ctx ends.
@@ -144,12 +153,14 @@
 	b := encoder.AppendReport(nil, r)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for entry, subscribedUntil := range a.subscribers {
-		if now.After(subscribedUntil) {
+	for entry, s := range a.subscribers {
+		switch {
+		case now.After(s.endsAt):
 			delete(a.subscribers, entry)
-			continue
+		case !now.Before(s.reportDueAt):
+			s.reportDueAt = now.Add(time.Duration(s.spacing) * carrier.ReportTick)
+			a.data.Send(entry, b)
 		}
-		a.data.Send(entry, b)
 	}
 }
 
@@ -178,7 +189,7 @@
 	}
 	switch h.Kind {
 	case carrier.HopSubscribe:
-		a.addSubscriber(now, from)
+		a.addSubscriber(now, from, h.ReportTicks)
 	case carrier.HopPass:
 		if a.Codec.Decode(packet, &b.segment) != nil {
 			a.Observer.Dropped("malformed")
@@ -196,12 +207,17 @@
 }
 
 // addSubscriber adds or renews the subscription of an entry. A new subscriber gets a report at once.
-func (a *Agent) addSubscriber(now time.Time, entry netip.AddrPort) {
+func (a *Agent) addSubscriber(now time.Time, entry netip.AddrPort, spacing carrier.ReportTicks) {
 	a.mu.Lock()
-	_, subscribed := a.subscribers[entry]
-	a.subscribers[entry] = now.Add(subscriptionTime)
+	s := a.subscribers[entry]
+	isNew := s == nil
+	if isNew {
+		s = &subscriber{}
+		a.subscribers[entry] = s
+	}
+	s.endsAt, s.spacing = now.Add(subscriptionTime), spacing
 	a.mu.Unlock()
-	if !subscribed {
+	if isNew {
 		a.data.Send(entry, encoder.AppendReport(nil, a.Admitter.Report(now)))
 	}
 }
--- a/internal/front/streamer/entry.go
+++ b/internal/front/streamer/entry.go
@@ -42,6 +42,8 @@
 	CallerAddress, DataAddress netip.AddrPort
 	// CallerPort is the UDP port at which callers receive packets.
 	CallerPort uint16
+	// LinkMbps is the rate of the machine's link in Mbit/s; 0 stands for a link that load reports cannot fill.
+	LinkMbps float64
 
 	sockets
 	callers, data *socket
@@ -95,8 +97,9 @@
 
 func (e *Entry) sendSubscriptions() {
 	var b [encoder.HopHeaderSize]byte
-	encoder.PutHop(b[:], carrier.HopHeader{Kind: carrier.HopSubscribe})
-	for _, agent := range e.Steerer.Agents() {
+	agents := e.Steerer.Agents()
+	encoder.PutHop(b[:], carrier.HopHeader{Kind: carrier.HopSubscribe, ReportTicks: steerer.SpaceReports(len(agents), e.LinkMbps)})
+	for _, agent := range agents {
 		e.data.Send(agent, b[:])
 	}
 }
--- a/internal/route/carrier/stream.go
+++ b/internal/route/carrier/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -135,6 +136,15 @@
 // Percent returns the share in percent.
 func (s FailureShare) Percent() int { return int(s) * 100 / AllFailed }
 
+// ReportTicks is a time between two load reports, in units of ReportTick.
+type ReportTicks uint8
+
+// ReportTick is the unit of ReportTicks, and MaxReportTicks the largest value that a header holds.
+const (
+	ReportTick                 = 10 * time.Millisecond
+	MaxReportTicks ReportTicks = 1<<7 - 1
+)
+
 // HopHeader describes a datagram about stream flows between machines.
 type HopHeader struct {
 	Kind HopKind
@@ -148,6 +158,8 @@
 	Probe bool
 	// Reason is set in a return.
 	Reason ReturnReason
+	// ReportTicks is the shortest time between two load reports that a subscription asks for. It is at most MaxReportTicks.
+	ReportTicks ReportTicks
 }
 
 // LoadReport is the load of an upstream as its agent reports it to entries.
--- a/internal/setting/parser/stream.go
+++ b/internal/setting/parser/stream.go
@@ -58,6 +58,7 @@
 // StreamEntry holds the settings of an entry of stream services.
 type StreamEntry struct {
 	StreamNode
+	LinkMbps float64 `json:"link_mbps" rule:"link" default:"0" doc:"rate of the machine's link in Mbit/s, a fifth of which load reports of agents may use; 0 for no bound"`
 }
 
 // StreamAgent holds the settings of an agent beside an upstream of a stream service.
--- a/internal/wire/encoder/hop.go
+++ b/internal/wire/encoder/hop.go
@@ -22,8 +22,10 @@
 	HopHeaderSize = 8
 	// searchingFlag is the bit for HopHeader.Searching in the third byte, which also holds the return reason.
 	searchingFlag = 0x80
-	// probeFlag is the bit for HopHeader.Probe in the fourth byte, which earlier versions send as 0 and do not read.
-	probeFlag = 1
+	// probeFlag is the bit for HopHeader.Probe in the fourth byte, which earlier versions send as 0 and do not read. The bits above it
+	// hold HopHeader.ReportTicks.
+	probeFlag         = 1
+	reportTicksOffset = 1
 	// reportSize is the length in bytes of a load report without the header.
 	reportSize = 12
 	// acceptingFlag, coldFlag and probeDueFlag are the bits for the flags of a LoadReport in the first byte of a load report. The
@@ -41,9 +43,9 @@
 	if h.Searching {
 		b[2] |= searchingFlag
 	}
-	b[3] = 0
+	b[3] = byte(h.ReportTicks) << reportTicksOffset
 	if h.Probe {
-		b[3] = probeFlag
+		b[3] |= probeFlag
 	}
 	binary.BigEndian.PutUint32(b[4:], uint32(h.Service))
 }
@@ -62,7 +64,8 @@
 	}
 	h = carrier.HopHeader{
 		Kind: carrier.HopKind(b[0] & kindMask), Step: b[1], Reason: carrier.ReturnReason(b[2] &^ searchingFlag),
-		Searching: b[2]&searchingFlag != 0, Probe: b[3]&probeFlag != 0, Service: carrier.ServiceTag(binary.BigEndian.Uint32(b[4:])),
+		Searching: b[2]&searchingFlag != 0, Probe: b[3]&probeFlag != 0,
+		ReportTicks: carrier.ReportTicks(b[3] >> reportTicksOffset), Service: carrier.ServiceTag(binary.BigEndian.Uint32(b[4:])),
 	}
 	if b[0]&^kindMask != hopVersion || h.Kind < carrier.HopPass || h.Kind > carrier.HopReport {
 		return h, nil, ErrHop
--- a/internal/wire/encoder/hop_test.go
+++ b/internal/wire/encoder/hop_test.go
@@ -18,7 +18,8 @@
 			Kind:    carrier.HopKind(rapid.IntRange(int(carrier.HopPass), int(carrier.HopReport)).Draw(t, "kind")),
 			Service: carrier.ServiceTag(rapid.Uint32().Draw(t, "service")), Step: rapid.Uint8().Draw(t, "step"),
 			Searching: rapid.Bool().Draw(t, "searching"), Reason: carrier.ReturnReason(rapid.IntRange(0, 7).Draw(t, "reason")),
-			Probe: rapid.Bool().Draw(t, "probe"),
+			Probe:       rapid.Bool().Draw(t, "probe"),
+			ReportTicks: carrier.ReportTicks(rapid.IntRange(0, int(carrier.MaxReportTicks)).Draw(t, "ticks")),
 		}
 		payload := rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "payload")
 		b := append(make([]byte, HopHeaderSize), payload...)
