--- a/internal/front/responder/pool.go
+++ b/internal/front/responder/pool.go
@@ -35,7 +35,8 @@
 	maxIdleConns = 4
 )
 
-// Pool opens the HTTP/1.1 connections to one upstream, and watches some of them after their request for the end of the upstream. The exported fields are set before first use.
+// Pool opens the HTTP/1.1 connections to one upstream, and watches some of them after their request for the end of the upstream. The
+// exported fields are set before first use.
 type Pool struct {
 	Address netip.AddrPort
 	// OnUnexpectedClose is called when the upstream ends an idle connection unexpectedly.
