--- a/internal/cli/runner/open_control.go
+++ b/internal/cli/runner/open_control.go
@@ -61,7 +61,7 @@
 	orders := &administrator.Orders{Log: c.log, World: c.ledger.World, Zones: cfg.Zones, Recorder: rec}
 	g := newGroup(ctx)
 	c.start(g, &connector.Server{Heartbeats: c.granter(), Address: cfg.LocalControl})
-	g.run(serveFunc(cfg.OperatorAddress, &pacer.Handler{Next: p.Operators(orders), LinkMbps: cfg.LinkMbps}))
+	g.run(serveFunc(cfg.OperatorAddress, &pacer.Handler{Next: p.Operators(orders), Link: registrar.Mbps(cfg.LinkMbps)}))
 	g.run(r.run)
 	g.run(u.run)
 	g.run(reload.run)
--- a/internal/cli/runner/stream_entry.go
+++ b/internal/cli/runner/stream_entry.go
@@ -37,7 +37,7 @@
 	s := &steerer.Steerer{Zone: cfg.Zone, World: n.subscriber.World, Lease: n.subscriber}
 	front := streamer.NewEntry()
 	front.Steerer, front.Codec, front.Recorder, front.Observer = s, p.Codec(), rec, drops
-	front.LinkMbps = cfg.LinkMbps
+	front.Link = registrar.Mbps(cfg.LinkMbps)
 	front.CallerAddress, front.DataAddress, front.CallerPort = cfg.CallerAddress, cfg.DataAddress, cfg.CallerAddress.Port()
 	n.subscriber.Enforcers = []subscriber.Enforcer{s, front, n}
 	n.completeHeartbeat = func(*leaser.Heartbeat) {}
--- a/internal/control/driver/driver_test.go
+++ b/internal/control/driver/driver_test.go
@@ -82,15 +82,20 @@
 		Members: map[registrar.MachineName]netip.AddrPort{"control-0": {}, "control-1": {}, "control-2": {}},
 	}
 	require.NoError(t, d.Open())
+	return m, n.run(t, d)
+}
+
+// run runs an open member and returns a function that stops it.
+func (n *testNetwork) run(t *testing.T, d *Driver) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- d.Run(ctx) }()
 	n.mu.Lock()
-	n.drivers[name] = d
+	n.drivers[d.Name] = d
 	n.mu.Unlock()
-	return m, func() {
+	return func() {
 		n.mu.Lock()
-		n.drivers[name] = nil
+		n.drivers[d.Name] = nil
 		n.mu.Unlock()
 		cancel()
 		require.NoError(t, <-done)
--- a/internal/control/driver/reopen_test.go
+++ b/internal/control/driver/reopen_test.go
@@ -87,16 +87,7 @@
 	}
 	require.NoError(t, d.Open())
 	d.store.(*store).journal.SegmentSize = 512
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- d.Run(ctx) }()
-	n.mu.Lock()
-	n.drivers[name] = d
-	n.mu.Unlock()
-	return m, func() {
-		cancel()
-		require.NoError(t, <-done)
-	}
+	return m, n.run(t, d)
 }
 
 // TestDisksFullInTurn guards against a group that refuses changes, or does not answer them, after its disks were full one after the
--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -91,10 +91,7 @@
 
 // allRestarted returns the incarnations of the members that may lead if all have restarted, and nil otherwise.
 func (e *Elector) allRestarted() map[MemberID]Incarnation {
-	if e.incarnation == 0 {
-		return nil
-	}
-	if !e.covered(e.restarted) {
+	if e.incarnation == 0 || !e.covered(e.restarted) {
 		return nil
 	}
 	return maps.Clone(e.restarted)
--- a/internal/front/pacer/pacer.go
+++ b/internal/front/pacer/pacer.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"golang.org/x/time/rate"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 const (
@@ -14,15 +16,13 @@
 	linkShare = 0.5
 	// chunkSize is the number of bytes that are sent at once, which a link of 1.5 Mbit/s carries in about 7 ms.
 	chunkSize = 1400
-	// bytesPerMegabit is the number of bytes in a megabit.
-	bytesPerMegabit = 1e6 / 8
 )
 
 // Handler serves HTTP with all its responses together at a bounded rate. The exported fields are set before first use.
 type Handler struct {
 	Next http.Handler
-	// LinkMbps is the rate of the link in Mbit/s; 0 stands for a link that needs no bound.
-	LinkMbps float64
+	// Link is the rate of the machine's link.
+	Link registrar.Mbps
 
 	once    sync.Once
 	limiter *rate.Limiter
@@ -30,8 +30,8 @@
 
 // ServeHTTP serves a request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.LinkMbps > 0 {
-		h.once.Do(func() { h.limiter = rate.NewLimiter(rate.Limit(linkShare*h.LinkMbps*bytesPerMegabit), chunkSize) })
+	if h.Link > 0 {
+		h.once.Do(func() { h.limiter = rate.NewLimiter(rate.Limit(linkShare*h.Link.BytesPerSecond()), chunkSize) })
 		w = &response{ResponseWriter: w, request: r, limiter: h.limiter}
 	}
 	h.Next.ServeHTTP(w, r)
--- a/internal/front/pacer/pacer_test.go
+++ b/internal/front/pacer/pacer_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
 )
 
 // countingWriter counts the bytes of several responses and checks that they stay within a rate.
@@ -39,14 +41,14 @@
 
 // TestRate guards against a large response, or several at a time, that fill a slow link, and against one that arrives in part.
 func TestRate(t *testing.T) {
-	const linkMbps = 1.5
+	const link registrar.Mbps = 1.5
 	body := bytes.Repeat([]byte("0123456789"), 1500)
-	h := &Handler{LinkMbps: linkMbps, Next: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	h := &Handler{Link: link, Next: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		n, err := w.Write(body)
 		require.NoError(t, err)
 		require.Equal(t, len(body), n)
 	})}
-	all := &countingWriter{t: t, startedAt: time.Now(), bytesPerSecond: linkShare * linkMbps * bytesPerMegabit}
+	all := &countingWriter{t: t, startedAt: time.Now(), bytesPerSecond: linkShare * link.BytesPerSecond()}
 	var wg sync.WaitGroup
 	for range 2 {
 		wg.Go(func() {
@@ -62,7 +64,7 @@
 func TestCallerLeaves(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	h := &Handler{LinkMbps: 0.001, Next: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	h := &Handler{Link: 0.001, Next: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, err := w.Write(make([]byte, 100*chunkSize))
 		require.ErrorIs(t, err, context.Canceled)
 	})}
--- a/internal/front/streamer/entry.go
+++ b/internal/front/streamer/entry.go
@@ -46,8 +46,8 @@
 	CallerAddress, DataAddress netip.AddrPort
 	// CallerPort is the UDP port at which callers receive packets.
 	CallerPort uint16
-	// LinkMbps is the rate of the machine's link in Mbit/s; 0 stands for a link that load reports cannot fill.
-	LinkMbps float64
+	// Link is the rate of the machine's link, a part of which load reports may use.
+	Link registrar.Mbps
 
 	sockets
 	callers, data *socket
@@ -106,7 +106,7 @@
 func (e *Entry) sendSubscriptions(now time.Time) {
 	var b [encoder.HopHeaderSize]byte
 	agents := e.Steerer.Agents()
-	encoder.PutHop(b[:], carrier.HopHeader{Kind: carrier.HopSubscribe, ReportTicks: steerer.SpaceReports(len(agents), e.LinkMbps)})
+	encoder.PutHop(b[:], carrier.HopHeader{Kind: carrier.HopSubscribe, ReportTicks: steerer.SpaceReports(len(agents), e.Link)})
 	next := make(map[netip.AddrPort]time.Time, len(agents))
 	for _, agent := range agents {
 		due, known := e.subscribeAt[agent]
--- a/internal/route/steerer/load.go
+++ b/internal/route/steerer/load.go
@@ -36,19 +36,17 @@
 	reportShare = 0.2
 	// reportWireSize is the size of a load report with its UDP and IPv4 headers, in bytes.
 	reportWireSize = 48
-	// bytesPerMegabit is the number of bytes in a megabit.
-	bytesPerMegabit = 1e6 / 8
 	// maxReportTicks is the longest time between two reports that an entry asks for: reportLifetime has to cover three of them.
 	maxReportTicks carrier.ReportTicks = 10
 )
 
 // SpaceReports returns the shortest time between two load reports of an agent at which the reports of all agents fit into their share of
-// a link of linkMbps, in Mbit/s. 0 stands for a link that needs no bound.
-func SpaceReports(agents int, linkMbps float64) carrier.ReportTicks {
-	if linkMbps <= 0 {
+// the entry's link.
+func SpaceReports(agents int, link registrar.Mbps) carrier.ReportTicks {
+	if link <= 0 {
 		return 0
 	}
-	seconds := float64(agents) * reportWireSize / (reportShare * linkMbps * bytesPerMegabit)
+	seconds := float64(agents) * reportWireSize / (reportShare * link.BytesPerSecond())
 	return carrier.ReportTicks(min(seconds/carrier.ReportTick.Seconds(), float64(maxReportTicks)))
 }
 
--- a/internal/world/registrar/route.go
+++ b/internal/world/registrar/route.go
@@ -31,6 +31,12 @@
 // Millis is a duration in milliseconds.
 type Millis uint32
 
+// Mbps is the rate of a link in Mbit/s. 0 stands for a link that needs no bound.
+type Mbps float64
+
+// BytesPerSecond returns the rate in bytes per second.
+func (r Mbps) BytesPerSecond() float64 { return float64(r) * 1e6 / 8 }
+
 // Priority orders requests under load; 0 is the most urgent.
 type Priority uint8
 
