--- a/review/standin/case_cold.go
+++ b/review/standin/case_cold.go
@@ -37,7 +37,7 @@
 			return nil, err
 		}
 		callers = append(callers, c)
-		wg.Go(func() { c.openSteadily(stop, &wg) })
+		wg.Go(func() { c.openSteadily(openRate, stop, &wg) })
 	}
 	time.Sleep(5 * time.Second)
 	var broken []string
@@ -58,9 +58,9 @@
 	return broken, nil
 }
 
-// openSteadily opens flows with one request each until stop is closed.
-func (c *caller) openSteadily(stop chan struct{}, wg *sync.WaitGroup) {
-	ticker := time.NewTicker(time.Second / openRate)
+// openSteadily opens a number of flows a second, with one request each, until stop is closed.
+func (c *caller) openSteadily(rate int, stop chan struct{}, wg *sync.WaitGroup) {
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -77,7 +77,7 @@
 	if err := d.sys.start("agent", fmt.Sprint("side-", n), n, zone, more); err != nil {
 		return err
 	}
-	s, err := startServer(d.sys, n, fmt.Sprint("i-", n), service, zone, cold, work)
+	s, err := startServer(d.sys, n, fmt.Sprint("i-", n), service, zone, "", cold, work)
 	d.servers = append(d.servers, s)
 	return err
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 	"flow-dead-server": flowDeadServer,
 	"flow-moved-route": flowMovedRoute,
 	"cold-agent":       coldAgent,
+	"late-check-in":    lateCheckIn,
 }
 
 // The exit statuses.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -35,7 +35,9 @@
 	born              time.Time
 	cold              time.Duration
 	work              time.Duration
-	slots             chan struct{}
+	// checkInAddress is where the server sends its check-ins.
+	checkInAddress string
+	slots          chan struct{}
 
 	mu       sync.Mutex
 	state    string
@@ -45,6 +47,9 @@
 	runs     map[string]int
 	dead     bool
 	ended    chan struct{}
+	// now has an element if a check-in is due at once, and drainAckedAt is when one that said draining was acknowledged.
+	now          chan struct{}
+	drainAckedAt time.Time
 }
 
 type serverFlow struct {
@@ -60,8 +65,8 @@
 	sent   uint32
 }
 
-// startServer starts a server on machine n.
-func startServer(sys *system, n int, id, service, zone string, cold, work time.Duration) (*server, error) {
+// startServer starts a server on machine n. via is the address of a proxy for its check-ins; empty for none.
+func startServer(sys *system, n int, id, service, zone, via string, cold, work time.Duration) (*server, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(sys.address(n, appPort))))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", errSetup, err)
@@ -70,7 +75,10 @@
 	s := &server{
 		id: id, service: service, zone: zone, machine: n, sys: sys, conn: conn, born: time.Now(), cold: cold, work: work,
 		outbound: netip.MustParseAddrPort(sys.address(n, outboundPort)), slots: make(chan struct{}, 2), state: "ready",
-		flows: map[flowKey]*serverFlow{}, runs: map[string]int{}, ended: make(chan struct{}),
+		flows: map[flowKey]*serverFlow{}, runs: map[string]int{}, ended: make(chan struct{}), now: make(chan struct{}, 1), checkInAddress: via,
+	}
+	if via == "" {
+		s.checkInAddress = sys.address(n, controlPort)
 	}
 	go s.serve()
 	go s.checkIn()
@@ -102,22 +110,44 @@
 		s.mu.Unlock()
 		b, _ := json.Marshal(body)
 		wait := 200 * time.Millisecond
-		r, err := client.Post("http://"+s.sys.address(s.machine, controlPort)+heartbeatPath+s.id, "application/json", bytes.NewReader(b))
+		r, err := client.Post("http://"+s.checkInAddress+heartbeatPath+s.id, "application/json", bytes.NewReader(b))
 		if err == nil {
 			_ = r.Body.Close()
-			if r.StatusCode/100 == 2 {
+			if r.StatusCode/100 != 2 {
+				s.sys.rec.add("server %s: check-in %d (%s) refused with %d", s.id, body.Sequence, body.State, r.StatusCode)
+			} else {
 				wait = heartbeat
+				s.noteAck(body.State)
 				s.sys.rec.add("server %s: check-in %d (%s, cold for %.0f ms) acknowledged", s.id, body.Sequence, body.State, body.ColdRemaining)
 			}
 		}
 		select {
 		case <-s.ended:
 			return
+		case <-s.now:
 		case <-time.After(wait):
 		}
 	}
 }
 
+// noteAck notes the first acknowledgement of a check-in that said draining.
+func (s *server) noteAck(state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == "draining" && s.drainAckedAt.IsZero() {
+		s.drainAckedAt = time.Now()
+		s.sys.rec.say("server %s: draining is acknowledged", s.id)
+	}
+}
+
+// drain makes the server say that it leaves. It goes on serving.
+func (s *server) drain() {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.now <- struct{}{}
+}
+
 func (s *server) serve() {
 	b := make([]byte, 2048)
 	for {
