--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -21,8 +21,6 @@
 	mu     sync.Mutex
 	port   uint16
 	queues map[netip.AddrPort]chan packet
-	// resets has the flows that got a reset of the system.
-	resets map[flowKey]time.Time
 	// sentAt has when the first opening packet of each flow was sent.
 	sentAt map[flowKey]time.Time
 }
@@ -45,7 +43,7 @@
 	_ = conn.SetReadBuffer(4 << 20)
 	c := &caller{
 		sys: sys, router: r, zone: zone, ip: a.Addr(), conn: conn, port: 20_000,
-		queues: map[netip.AddrPort]chan packet{}, resets: map[flowKey]time.Time{},
+		queues: map[netip.AddrPort]chan packet{},
 	}
 	go c.receive()
 	return c, nil
@@ -64,9 +62,6 @@
 		}
 		c.mu.Lock()
 		q := c.queues[p.dst]
-		if p.has(flagReset) && p.sum == 0 {
-			c.resets[flowKey{p.dst, p.src}] = time.Now()
-		}
 		c.mu.Unlock()
 		if q == nil {
 			continue
@@ -168,11 +163,3 @@
 	defer f.caller.mu.Unlock()
 	delete(f.caller.queues, f.key.requester)
 }
-
-// resetAt returns when the flow got a reset of the system.
-func (c *caller) resetAt(key flowKey) (time.Time, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t, ok := c.resets[key]
-	return t, ok
-}
--- a/review/standin/case_flow.go
+++ b/review/standin/case_flow.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	flowCount     = 120
+	flowCount     = 240
 	requestBudget = 2500 * time.Millisecond
 	workTime      = 15 * time.Millisecond
 	// strayPackets is how many packets of a flow may not reach other servers within flowTime while none reaches its own.
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -23,8 +23,14 @@
 	service string
 	zone    string
 }{
-	{21, orderDesk, "johor-a"}, {22, orderDesk, "johor-a"}, {23, orderDesk, "johor-b"}, {24, orderDesk, "johor-b"},
-	{25, orderDesk, "johor-c"}, {26, orderDesk, "johor-c"}, {31, catalogue, "johor-a"}, {32, catalogue, "johor-b"},
+	{21, orderDesk, "johor-a"},
+	{22, orderDesk, "johor-a"},
+	{23, orderDesk, "johor-b"},
+	{24, orderDesk, "johor-b"},
+	{25, orderDesk, "johor-c"},
+	{26, orderDesk, "johor-c"},
+	{31, catalogue, "johor-a"},
+	{32, catalogue, "johor-b"},
 	{33, catalogue, "johor-c"},
 }
 
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -47,11 +47,8 @@
 	return o.order(replacePath, b, 20*time.Second)
 }
 
-// The addresses of the routes.
-var (
-	orderAddress   = netip.MustParseAddrPort("198.18.0.1:8080")
-	drawingAddress = netip.MustParseAddrPort("198.18.0.1:8443")
-)
+// orderAddress is the address of the order route.
+var orderAddress = netip.MustParseAddrPort("127.18.0.1:8080")
 
 // The services of the deployment.
 const (
@@ -66,11 +63,11 @@
 	}}
 	c.Routes = []routeBody{
 		{
-			Name: "r-order", Host: "198.18.0.1", PathPrefix: "/8080/", Type: "non_idempotent", TimeoutMS: 2500, TargetLatency: 150,
+			Name: "r-order", Host: "127.18.0.1", PathPrefix: "/8080/", Type: "non_idempotent", TimeoutMS: 2500, TargetLatency: 150,
 			Priority: 1, Service: orderService, MaxAttempts: 2,
 		},
 		{
-			Name: "r-drawing", Host: "198.18.0.1", PathPrefix: "/8443/", Type: "download", TimeoutMS: 8000, TargetLatency: 500,
+			Name: "r-drawing", Host: "127.18.0.1", PathPrefix: "/8443/", Type: "download", TimeoutMS: 8000, TargetLatency: 500,
 			Priority: 2, Service: catalogue, MaxAttempts: 2,
 		},
 	}
--- a/review/standin/words.go
+++ b/review/standin/words.go
@@ -4,9 +4,6 @@
 const (
 	heartbeatPath   = "/Instances.Heartbeat/"
 	replacePath     = "/Config.Replace"
-	readPath        = "/Config.Read"
-	beginPath       = "/Evacuations.Begin/"
-	finishPath      = "/Evacuations.Finish/"
 	requestIDHeader = "X-Peridotstage-Request-Id"
 	signatureHeader = "X-Peridotstage-Server-Signature"
 )
