Log how many agents were asked for a flow that none holds

A packet dropped with the reason no_flow did not tell whether the search had asked the agent whose upstream holds the flow.

TestSearch compares the whole decision, so it now also requires that 5 agents were asked.

--- a/internal/front/streamer/entry.go
+++ b/internal/front/streamer/entry.go
@@ -155,7 +155,8 @@
 
 func (e *Entry) logDecision(ev recorder.Event, s *carrier.Segment, d steerer.Decision) {
 	e.Recorder.Flow(ev, s.Flow(), zap.String("reason", string(d.Reason)), zap.String("upstream", string(d.Upstream)),
-		zap.Int64("expected_us", d.ExpectedTime.Microseconds()), zap.Int64("report_age_us", d.ReportAge.Microseconds()))
+		zap.Int64("expected_us", d.ExpectedTime.Microseconds()), zap.Int64("report_age_us", d.ReportAge.Microseconds()),
+		zap.Int("agents_asked", d.Asked))
 }
 
 // handleAgentDatagram handles a datagram of an agent: a load report, a notice of a held flow or a returned packet.
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -68,6 +68,8 @@
 	ExpectedTime time.Duration
 	// ReportAge is the age of the load report from which ExpectedTime was computed.
 	ReportAge time.Duration
+	// Asked is the number of agents that were asked for the flow; set for ReasonNoFlow only.
+	Asked int
 }
 
 // Lease tells whether the entry may act on its configuration.
@@ -240,11 +242,11 @@
 // search sends a packet to the agent at the given step of the search for its flow.
 func (s *Steerer) search(p callerPacket, step int) Decision {
 	if step >= maxSearchSteps {
-		return Decision{Reason: ReasonNoFlow}
+		return Decision{Reason: ReasonNoFlow, Asked: step}
 	}
 	m := s.current().searchCandidate(p.now, p.route, p.hash, step)
 	if m == nil {
-		return Decision{Reason: ReasonNoFlow}
+		return Decision{Reason: ReasonNoFlow, Asked: step}
 	}
 	header := m.passHeader()
 	header.Step, header.Searching = uint8(step), true
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -336,7 +336,7 @@
 		header.Kind, header.Reason = carrier.HopReturn, carrier.ReturnUnknownFlow
 		d = s.HandleReturned(start, d.To, header, data)
 	}
-	require.Equal(t, Decision{Reason: ReasonNoFlow}, d)
+	require.Equal(t, Decision{Reason: ReasonNoFlow, Asked: 5}, d)
 	for n := 6; n <= 8; n++ {
 		require.NotContains(t, asked, agentAddress(n))
 	}
