Search for open flows at the services that their route has left

Cause: an entry without a record of a flow asked only the agents of the services that the route leads to now. A configuration leaves open flows where they are.

Evidence: all 400 drops of the entry that took over have the reason no_flow and agents_asked 3, the agents of the new service.

Fix: World keeps with a route the last three services that it has left, so that entries know them which started later, and a search covers them. It takes turns among the services, 8 upstreams by rank from each, since placement compares the first 8. The digest leaves the field out, because control instances and nodes of the version before do not compute it.

TestFormerServices guards the replicated state.

--- a/internal/route/steerer/view.go
+++ b/internal/route/steerer/view.go
@@ -88,10 +88,26 @@
 // targetSalt makes the choice of a target independent of the ranking of upstreams.
 const targetSalt = 0x5bf0_3635_d1b2_a6c7
 
-// searchCandidate returns the upstream to ask for a flow at a step of a search, or nil after the last one. The upstreams of the
-// target that a new flow would be assigned to come first, then those of the other targets. Upstreams whose agents do not report
-// come last, because a packet that reaches no agent ends the search.
+// searchCandidate returns the upstream to ask for a flow at a step of a search, or nil after the last one. Upstreams whose agents do
+// not report come last, because a packet that reaches no agent ends the search.
 func (v *view) searchCandidate(now time.Time, r registrar.Route, hash uint64, step int) *member {
+	var reporting, notReporting [][]*member
+	for _, name := range searchServices(r, hash) {
+		if p := v.pools[name]; p != nil {
+			reporting = append(reporting, p.filter(func(m *member) bool { return m.reporting(now) }))
+			notReporting = append(notReporting, p.filter(func(m *member) bool { return !m.silent && !m.reporting(now) }))
+		}
+	}
+	m, reported := candidateAt(reporting, hash, step)
+	if m == nil {
+		m, _ = candidateAt(notReporting, hash, step-reported)
+	}
+	return m
+}
+
+// searchServices returns the services whose upstreams may hold a flow of a route: the target that a new flow would be assigned to, the
+// other targets, and the services that were targets when the flow may have been opened.
+func searchServices(r registrar.Route, hash uint64) []registrar.ServiceName {
 	first := selectTarget(r, hash)
 	names := []registrar.ServiceName{first}
 	for _, t := range r.Targets {
@@ -99,38 +115,53 @@
 			names = append(names, t.Service)
 		}
 	}
-	var notReporting []*member
-	for _, name := range names {
-		p := v.pools[name]
-		if p == nil {
-			continue
+	return append(names, r.FormerServices...)
+}
+
+// candidateAt returns the member at a step through several groups, or nil and the number of members if there are fewer. It takes turns
+// among the groups, maxCandidates by rank from each: a flow is usually among those of its service, so that a large service does not use
+// up the steps of a search for a flow of another one.
+func candidateAt(groups [][]*member, hash uint64, step int) (m *member, passed int) {
+	for start := 0; ; start += maxCandidates {
+		exhausted := true
+		for _, members := range groups {
+			n := min(len(members)-start, maxCandidates)
+			if n <= 0 {
+				continue
+			}
+			exhausted = false
+			if step < passed+n {
+				return rank(members, hash)[start+step-passed], passed
+			}
+			passed += n
 		}
-		ranked := p.ranked(hash, func(m *member) bool { return m.reporting(now) })
-		if step < len(ranked) {
-			return ranked[step]
+		if exhausted {
+			return nil, passed
 		}
-		step -= len(ranked)
-		notReporting = append(notReporting, p.ranked(hash, func(m *member) bool { return !m.silent && !m.reporting(now) })...)
-	}
-	if step < len(notReporting) {
-		return notReporting[step]
 	}
-	return nil
 }
 
-// ranked returns the members for which keep returns true, ranked for a flow by rendezvous hashing (Thaler and Ravishankar,
-// 1998). Adding or removing a member does not change the order of the others.
-func (p *pool) ranked(hash uint64, keep func(*member) bool) []*member {
+// filter returns the members for which keep returns true, in a new slice.
+func (p *pool) filter(keep func(*member) bool) []*member {
 	var all []*member
 	for _, m := range p.members {
 		if keep(m) {
 			all = append(all, m)
 		}
 	}
-	slices.SortFunc(all, func(a, b *member) int { return cmp.Compare(score(hash, b.id), score(hash, a.id)) })
 	return all
 }
 
+// ranked returns the members for which keep returns true, ranked for a flow.
+func (p *pool) ranked(hash uint64, keep func(*member) bool) []*member { return rank(p.filter(keep), hash) }
+
+// rank sorts members for a flow by rendezvous hashing (Thaler and Ravishankar, 1998), in place. Adding or removing a member does not
+// change the order of the others.
+func rank(members []*member, hash uint64) []*member {
+	slices.SortFunc(members, func(a, b *member) int { return cmp.Compare(score(hash, b.id), score(hash, a.id)) })
+	return members
+}
+
 func score(hash uint64, id registrar.UpstreamID) uint64 { return mix(hash ^ mix(uint64(id))) }
 
 // mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
--- a/internal/world/registrar/digest.go
+++ b/internal/world/registrar/digest.go
@@ -31,7 +31,13 @@
 	return 0
 }
 
+// objectHash returns the hash of an object. It leaves out the former services of a route, which machines of older versions do not
+// keep: their digests would differ during a rolling upgrade, and control would send them the full state again and again.
 func objectHash(object any) uint64 {
+	if r, ok := object.(Route); ok {
+		r.FormerServices = nil
+		object = r
+	}
 	b, err := json.Marshal(object)
 	if err != nil {
 		// All fields of objects are plain data, so encoding cannot fail.
--- a/internal/world/registrar/route.go
+++ b/internal/world/registrar/route.go
@@ -59,14 +59,36 @@
 	Priority      Priority `json:"priority,omitempty"`
 	// Targets name no service twice, and at least one of them has a weight above 0.
 	Targets []Target `json:"targets"`
+	// FormerServices are the services that were targets before and are none now, newest first and at most maxFormerServices. Flows that
+	// the route opened then may still be open at their upstreams. World sets the field; the value in a change is ignored.
+	FormerServices []ServiceName `json:"former_services,omitempty"`
 }
 
-// Equal reports whether two routes are the same.
+// maxFormerServices bounds the services that a search for a flow covers besides the targets.
+const maxFormerServices = 3
+
+// Equal reports whether two routes are the same, whatever their former services are.
 func (r Route) Equal(other Route) bool {
 	return r.Name == other.Name && r.Address == other.Address && r.Kind == other.Kind && r.Timeout == other.Timeout &&
 		r.TargetLatency == other.TargetLatency && r.Priority == other.Priority && slices.Equal(r.Targets, other.Targets)
 }
 
+// targets reports whether a service is among the targets, whatever its weight.
+func (r Route) targets(service ServiceName) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
+// formerServices returns the former services of a route that replaces r.
+func (r Route) formerServices(next Route) []ServiceName {
+	var former []ServiceName
+	for _, t := range r.Targets {
+		former = append(former, t.Service)
+	}
+	former = append(former, r.FormerServices...)
+	former = slices.DeleteFunc(former, next.targets)
+	return former[:min(len(former), maxFormerServices)]
+}
+
 // Allows reports whether new flows of the route may go to a service.
 func (r Route) Allows(service ServiceName) bool {
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
@@ -203,7 +225,9 @@
 			return nil, eris.Wrapf(ErrInvalid, "route %q: service %q does not exist", r.Name, t.Service)
 		}
 	}
-	return putObject(w, w.routes.shard(r.Address).routes, r.Address, r)
+	routes := w.routes.shard(r.Address).routes
+	r.FormerServices = routes[r.Address].formerServices(r)
+	return putObject(w, routes, r.Address, r)
 }
 
 func (w *World) deleteRoute(a netip.AddrPort) (undo, error) {
--- /dev/null
+++ b/internal/world/registrar/route_test.go
@@ -0,0 +1,68 @@
+package registrar_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/peridotstage/peridotstage/internal/world/registrar"
+)
+
+// TestFormerServices guards against a machine that does not learn where the open flows of a route may be: the services that a route
+// has left are kept in order through changes, refused changes and restores, and forgotten with the route.
+func TestFormerServices(t *testing.T) {
+	address := netip.MustParseAddrPort("198.18.0.1:443")
+	rapid.Check(t, func(t *rapid.T) {
+		w := registrar.NewWorld()
+		apply := func(kind registrar.ChangeKind, c registrar.Change) error {
+			c.Kind = kind
+			return w.Apply(registrar.Update{Revision: w.Revision() + 1, Changes: []registrar.Change{c}})
+		}
+		for n := range 6 {
+			name := registrar.ServiceName(fmt.Sprint("service-", n))
+			require.NoError(t, apply(registrar.PutService, registrar.Change{Service: &registrar.Service{Name: name, Transport: registrar.TransportStream}}))
+		}
+		var left, present []registrar.ServiceName
+		for range 20 {
+			route := registrar.Route{Name: "stock", Address: address, Kind: registrar.RouteIdempotent, Timeout: 500}
+			var next []registrar.ServiceName
+			for i, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 6), 1, 3, rapid.ID[int]).Draw(t, "services") {
+				next = append(next, registrar.ServiceName(fmt.Sprint("service-", n)))
+				weight := uint32(rapid.IntRange(0, 2).Draw(t, "weight"))
+				if i == 0 {
+					weight = 1
+				}
+				route.Targets = append(route.Targets, registrar.Target{Service: next[i], Weight: weight})
+			}
+			// Only World decides on the former services.
+			route.FormerServices = []registrar.ServiceName{"service-5"}
+			switch rapid.IntRange(0, 5).Draw(t, "change") {
+			case 0:
+				if present != nil {
+					require.NoError(t, apply(registrar.DeleteRoute, registrar.Change{Route: &route}))
+				}
+				left, present = nil, nil
+				continue
+			case 1:
+				restored := registrar.NewWorld()
+				require.NoError(t, restored.Restore(w.State()))
+				require.Equal(t, w.Digest(), restored.Digest())
+				w = restored
+			default:
+				if err := apply(registrar.PutRoute, registrar.Change{Route: &route}); err != nil {
+					require.Contains(t, next, registrar.ServiceName("service-6"), "only the service that does not exist is refused")
+					break
+				}
+				left = slices.DeleteFunc(append(slices.Clone(present), left...), func(s registrar.ServiceName) bool { return slices.Contains(next, s) })
+				left, present = left[:min(len(left), 3)], next
+			}
+			stored, ok := w.Route(address)
+			require.Equal(t, present != nil, ok)
+			require.True(t, slices.Equal(left, stored.FormerServices), "%v, want %v", stored.FormerServices, left)
+		}
+	})
+}
