Let a search go on past an upstream that has ended

Cause: an agent that has started lately passes packets of unknown flows to its server, which sends back what it does not hold. A dead server does not, and every copy of the packet ended there.

Ruled out: agents that do not report; they are asked last, and this one reports.

Fix: the agent returns the packet to the searching entry if the server has done nothing with it for 100 ms, and later packets of the flow at once. They are also delivered, because a slow server may hold the flow; its answer tells the entry so, as before.

Tests, which failed before: TestSearchWithDeadUpstream with real processes (no answer on flow 17). TestSearchPassesDeadUpstream, TestSearchAtSlowUpstream and TestSearchAfterPause use what the fix adds.

--- a/internal/admit/admitter/admitter.go
+++ b/internal/admit/admitter/admitter.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,9 @@
 	// acceptTimeout is how long the upstream may take to accept a flow before the flow is offered to another upstream. Accepting
 	// takes well under a millisecond; callers retransmit an opening packet after 200 ms.
 	acceptTimeout = 100 * time.Millisecond
+	// answerTimeout is how long the upstream may take to answer or send back a packet of a flow that the agent does not know, before the
+	// search for the flow goes on. An upstream that has ended does neither.
+	answerTimeout = 100 * time.Millisecond
 	// pendingTimeout is how long an accepted flow counts as a request in flight before its first request arrives.
 	pendingTimeout = 500 * time.Millisecond
 	// absentRetention is how long the agent remembers that the upstream does not hold a flow.
@@ -48,8 +52,10 @@
 	Disposition Disposition
 	// Entry is the address of the entry that gets a returned packet, or the notice that the upstream holds the flow.
 	Entry netip.AddrPort
-	// Header is the hop header of a returned packet; set for Return only.
+	// Header is the hop header of a returned packet; set for Return and AlsoReturn only.
 	Header carrier.HopHeader
+	// AlsoReturn is true if a delivered packet goes back to Entry as well, because the upstream has not answered earlier ones.
+	AlsoReturn bool
 	// NotifyEntry is true if Entry is to be notified that the upstream of this agent holds the flow.
 	NotifyEntry bool
 	// StartsRequest is true if a request begins with the packet.
@@ -66,6 +72,9 @@
 	opening phase = iota
 	// probing flows are unknown to the agent. Their packets go to the upstream, which returns them if it does not hold the flow.
 	probing
+	// unanswered flows are unknown to the agent, and the upstream has neither answered nor returned a packet in time. It may have ended,
+	// or be slow and hold the flow.
+	unanswered
 	// held flows were accepted by the upstream.
 	held
 	// absent flows are not held by the upstream.
@@ -97,8 +106,8 @@
 	requestDuration time.Duration
 	// nextSequence is the sequence number that follows the newest byte of the caller.
 	nextSequence uint32
-	// openingPacket is set while the flow is opening.
-	openingPacket []byte
+	// unansweredPacket is the first packet that the upstream has not answered, while the flow is opening or probing; nil if there is none.
+	unansweredPacket []byte
 }
 
 // shard holds a part of the flows under its own lock, which is taken before the lock of the upstream.
@@ -151,7 +160,7 @@
 		return a.handleOpening(now, sh, entry, h, seg, packet)
 	}
 	if fl == nil {
-		return a.handleUnknownFlow(now, sh, entry, h, seg)
+		return a.handleUnknownFlow(now, sh, entry, h, seg, packet)
 	}
 	fl.entry, fl.step, fl.searching = entry, h.Step, h.Searching
 	switch fl.phase {
@@ -160,6 +169,9 @@
 	case probing, opening:
 		fl.lastPacketAt = now
 		return Action{Disposition: Deliver}
+	case unanswered:
+		fl.lastPacketAt = now
+		return deliverAndReturn(fl)
 	}
 	fl.lastPacketAt = now
 	act := Action{Disposition: Deliver, Entry: entry, NotifyEntry: h.Searching}
@@ -179,6 +191,13 @@
 	}}
 }
 
+// deliverAndReturn delivers a packet of an unanswered flow, and lets the search for the flow go on at the same time.
+func deliverAndReturn(fl *flow) Action {
+	act := returnAction(fl, carrier.ReturnUnknownFlow)
+	act.Disposition, act.AlsoReturn = Deliver, fl.searching
+	return act
+}
+
 // countRequest records the payload of a caller's packet. The first new bytes after an answer start a request; retransmitted
 // bytes do not.
 func (a *Admitter) countRequest(now time.Time, fl *flow, seg *carrier.Segment) (startsRequest bool) {
@@ -229,7 +248,7 @@
 	a.changes.Add(1)
 	a.putFlow(sh, f, &flow{
 		phase: opening, entry: entry, lastPacketAt: now, phaseStartedAt: now, pending: true,
-		openingPacket: append([]byte(nil), packet...),
+		unansweredPacket: slices.Clone(packet),
 	})
 	return Action{Disposition: Deliver}
 }
@@ -243,13 +262,18 @@
 
 // handleUnknownFlow handles a packet of a flow that the agent does not know. An agent that has run for longer than MaxFlowAge
 // knows all flows of its upstream and returns the packet. Before that, the agent passes the packet to the upstream, which sends
-// it back if it does not hold the flow.
-func (a *Admitter) handleUnknownFlow(now time.Time, sh *shard, entry netip.AddrPort, h carrier.HopHeader, seg *carrier.Segment) Action {
+// it back if it does not hold the flow, unless it has ended.
+func (a *Admitter) handleUnknownFlow(now time.Time, sh *shard, entry netip.AddrPort, h carrier.HopHeader, seg *carrier.Segment, packet []byte) Action {
 	fl := &flow{phase: probing, entry: entry, step: h.Step, searching: h.Searching, lastPacketAt: now, phaseStartedAt: now}
 	if now.Sub(a.StartedAt) > a.MaxFlowAge {
 		return returnAction(fl, carrier.ReturnUnknownFlow)
 	}
 	a.putFlow(sh, seg.Flow(), fl)
+	if a.upstream.isSilent() {
+		fl.phase = unanswered
+		return deliverAndReturn(fl)
+	}
+	fl.unansweredPacket = slices.Clone(packet)
 	return Action{Disposition: Deliver}
 }
 
@@ -284,9 +308,9 @@
 	act := Action{Disposition: Answer}
 	switch fl.phase {
 	case opening:
-		fl.phase, fl.phaseStartedAt, fl.openingPacket = held, now, nil
-	case probing, absent:
-		fl.phase, fl.phaseStartedAt = held, now
+		fl.phase, fl.phaseStartedAt, fl.unansweredPacket = held, now, nil
+	case probing, unanswered, absent:
+		fl.phase, fl.phaseStartedAt, fl.unansweredPacket = held, now, nil
 		act.NotifyEntry, act.Entry = fl.searching && fl.entry.IsValid(), fl.entry
 	}
 	endsFlow := seg.Has(carrier.End) || seg.Has(carrier.Reset)
@@ -346,17 +370,22 @@
 		a.changes.Add(1)
 	}
 	a.stopCounting(fl)
-	fl.phase, fl.phaseStartedAt = absent, now
+	alreadyReturned := fl.phase == unanswered && fl.searching
+	fl.phase, fl.phaseStartedAt, fl.unansweredPacket = absent, now, nil
+	if alreadyReturned {
+		return Action{}
+	}
 	return returnAction(fl, carrier.ReturnUnknownFlow)
 }
 
-// Overdue is an opening packet that the upstream has not answered in time.
+// Overdue is a packet that the upstream has not answered in time: the opening packet of a flow, or a packet of a flow that an entry
+// searches for.
 type Overdue struct {
 	Action
 	Packet []byte
 }
 
-// Tick returns the opening packets to be offered to another upstream, and removes expired flows.
+// Tick returns the packets that another upstream is to get, because this one has not answered them, and removes expired flows.
 func (a *Admitter) Tick(now time.Time) []Overdue {
 	var overdue []Overdue
 	idleTimeout := registrar.DefaultIdleTimeout
@@ -372,9 +401,15 @@
 			if a.upstream.markSilent(fl.phaseStartedAt) {
 				a.changes.Add(1)
 			}
-			overdue = append(overdue, Overdue{Action: returnAction(fl, carrier.ReturnSilent), Packet: fl.openingPacket})
+			overdue = append(overdue, Overdue{Action: returnAction(fl, carrier.ReturnSilent), Packet: fl.unansweredPacket})
 			// A late answer of the upstream still establishes the flow.
-			fl.phase, fl.phaseStartedAt, fl.openingPacket = probing, now, nil
+			fl.phase, fl.phaseStartedAt, fl.unansweredPacket = probing, now, nil
+		}
+		if fl.phase == probing && fl.searching && !wasPaused && now.Sub(fl.phaseStartedAt) > answerTimeout {
+			if fl.unansweredPacket != nil {
+				overdue = append(overdue, Overdue{Action: returnAction(fl, carrier.ReturnUnknownFlow), Packet: fl.unansweredPacket})
+			}
+			fl.phase, fl.phaseStartedAt, fl.unansweredPacket = unanswered, now, nil
 		}
 		if fl.pending && now.Sub(fl.phaseStartedAt) > pendingTimeout {
 			a.stopCounting(fl)
@@ -406,7 +441,7 @@
 
 func expired(now time.Time, fl *flow, idleTimeout time.Duration) bool {
 	switch fl.phase {
-	case absent, probing:
+	case absent, probing, unanswered:
 		return now.Sub(fl.phaseStartedAt) > absentRetention
 	case closed:
 		return now.Sub(fl.phaseStartedAt) > closedRetention
--- a/internal/admit/admitter/upstream.go
+++ b/internal/admit/admitter/upstream.go
@@ -195,6 +195,13 @@
 	return !wasSilent
 }
 
+// isSilent reports whether the upstream has not answered a flow in time, and has sent nothing since.
+func (u *upstream) isSilent() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.silentSince.IsZero()
+}
+
 // suspectRestart records that the upstream does not hold a flow that it had accepted, so it must have restarted. It reports
 // whether no restart was suspected before.
 func (u *upstream) suspectRestart() bool {
--- a/internal/front/streamer/agent.go
+++ b/internal/front/streamer/agent.go
@@ -242,6 +242,9 @@
 	switch action.Disposition {
 	case admitter.Deliver:
 		a.outbound.Send(a.UpstreamAddress, packet)
+		if action.AlsoReturn {
+			a.returnToEntry(action, s, packet)
+		}
 	case admitter.Answer:
 		a.data.Send(netip.AddrPortFrom(s.To.Addr(), a.CallerPort), packet)
 	case admitter.Return:
--- a/internal/route/steerer/view.go
+++ b/internal/route/steerer/view.go
@@ -153,7 +153,9 @@
 }
 
 // ranked returns the members for which keep returns true, ranked for a flow.
-func (p *pool) ranked(hash uint64, keep func(*member) bool) []*member { return rank(p.filter(keep), hash) }
+func (p *pool) ranked(hash uint64, keep func(*member) bool) []*member {
+	return rank(p.filter(keep), hash)
+}
 
 // rank sorts members for a flow by rendezvous hashing (Thaler and Ravishankar, 1998), in place. Adding or removing a member does not
 // change the order of the others.
