Refuse a check-in of a process that started before the running one

Cause: the agent took each start that it had not seen for a newer one; a check-in that had been held up until the successor of its sender was leaving made the agent open again.

Fix: the start times of two processes order them. A process that seems older, since its clock was set back, is taken after three check-ins over 2 s without one of the running process.

Tests, which failed before: TestLateCheckIn and TestClockSetBack (a check-in that should be refused was applied).

--- a/internal/admit/admitter/admitter_test.go
+++ b/internal/admit/admitter/admitter_test.go
@@ -145,6 +145,51 @@
 	require.True(t, a.Report(start).Accepting, "a notice from an ended process closed the running one")
 }
 
+// TestLateCheckIn guards against a check-in of an ended process that was held up until its successor had checked in: it must not undo
+// the leave of the successor, nor have its later check-ins refused.
+func TestLateCheckIn(t *testing.T) {
+	a := &Admitter{Service: "desk", Address: upstreamAddress}
+	second := checkIn("i-2", 1)
+	second.StartedMilli = 700
+	require.NoError(t, a.CheckIn(start, second))
+	second.Draining, second.Sequence = true, 2
+	require.NoError(t, a.CheckIn(start, second))
+	for sequence := uint64(1); sequence <= 5; sequence++ {
+		late := checkIn("i-1", sequence)
+		late.StartedMilli = 100
+		require.ErrorIs(t, a.CheckIn(start.Add(minSuccessorTime-time.Millisecond), late), ErrCheckIn)
+		require.False(t, a.Report(start).Accepting)
+	}
+	second.Sequence = 3
+	require.NoError(t, a.CheckIn(start.Add(minSuccessorTime), second))
+	// The running process has checked in since, so the count begins anew.
+	late := checkIn("i-1", 6)
+	late.StartedMilli = 100
+	require.ErrorIs(t, a.CheckIn(start.Add(2*minSuccessorTime), late), ErrCheckIn)
+}
+
+// TestClockSetBack guards against refusing a new process for good because its clock was set back before it started.
+func TestClockSetBack(t *testing.T) {
+	a := &Admitter{Service: "desk", Address: upstreamAddress}
+	first := checkIn("i-1", 9)
+	first.StartedMilli = 5000
+	first.Draining = true
+	require.NoError(t, a.CheckIn(start, first))
+	second := checkIn("i-2", 0)
+	second.StartedMilli = 1000
+	for n := range minSuccessorCheckIns {
+		second.Sequence++
+		err := a.CheckIn(start.Add(time.Duration(n)*1200*time.Millisecond), second)
+		if n < minSuccessorCheckIns-1 {
+			require.ErrorIs(t, err, ErrCheckIn)
+			continue
+		}
+		require.NoError(t, err)
+	}
+	require.True(t, a.Report(start.Add(3*time.Second)).Accepting)
+	require.ErrorIs(t, a.CheckIn(start, first), ErrCheckIn, "a check-in of the ended process was applied")
+}
+
 // TestColdRate guards against admitting more new flows in any second than the bound of a cold upstream, at any times of arrival,
 // also if a lost flow is the only sign of the restart.
 func TestColdRate(t *testing.T) {
--- a/internal/admit/admitter/upstream.go
+++ b/internal/admit/admitter/upstream.go
@@ -26,6 +26,11 @@
 	serviceTimeWeight = 0.1
 	// maxEndedProcesses is how many ended processes of the upstream are remembered, so that their late check-ins are rejected.
 	maxEndedProcesses = 16
+	// A process that started before the running one, by their own clocks, takes its place after minSuccessorCheckIns check-ins over
+	// minSuccessorTime without one of the running process. It is an ended process whose check-ins were held up, or a new one after the clock
+	// of its machine was set back; only the latter goes on checking in.
+	minSuccessorCheckIns = 3
+	minSuccessorTime     = 2 * time.Second
 )
 
 // ErrCheckIn means that a check-in is not about the running process of the agent's upstream.
@@ -38,6 +43,12 @@
 	StartedMilli int64
 }
 
+// before reports whether the process started before another one, by their own clocks. Processes that do not tell their start time are in
+// no order.
+func (s Start) before(other Start) bool {
+	return s.StartedMilli != 0 && other.StartedMilli != 0 && s.StartedMilli < other.StartedMilli
+}
+
 // CheckIn is a report of an upstream about itself.
 type CheckIn struct {
 	Start
@@ -59,7 +70,9 @@
 	process        Start
 	endedProcesses []Start
 	sequence       uint64
-	slots          registrar.Slots
+	// successor is a process that has checked in since the running one, and may have replaced it.
+	successor successor
+	slots     registrar.Slots
 	// draining is true once the running process has reported that it drains or ends.
 	draining bool
 	// silentSince is the time of the offer of a flow that the upstream did not answer in time; zero while it answers.
@@ -87,6 +100,27 @@
 	answeredAt time.Time
 }
 
+// successor counts the check-ins of a process that started before the running one. The zero value counts none.
+type successor struct {
+	process  Start
+	sequence uint64
+	checkIns int
+	// firstAt is the time of the first check-in.
+	firstAt time.Time
+}
+
+// confirm counts a check-in and reports whether its process has replaced the running one.
+func (s *successor) confirm(now time.Time, c CheckIn) bool {
+	switch {
+	case s.process != c.Start:
+		*s = successor{process: c.Start, sequence: c.Sequence, checkIns: 1, firstAt: now}
+	case c.Sequence > s.sequence:
+		s.sequence = c.Sequence
+		s.checkIns++
+	}
+	return s.checkIns >= minSuccessorCheckIns && now.Sub(s.firstAt) >= minSuccessorTime
+}
+
 // closedLocked reports whether the upstream accepts no new flows.
 func (u *upstream) closedLocked() bool {
 	return !u.checkedIn || u.draining || u.withdrawn || u.stopping
@@ -288,11 +322,15 @@
 	}
 	newProcess = !u.checkedIn || u.process != c.Start
 	if newProcess {
+		if u.checkedIn && c.before(u.process) && !u.successor.confirm(now, c) {
+			return false, eris.Wrapf(ErrCheckIn, "start %q began before the running one, %q", c.Name, u.process.Name)
+		}
 		u.replaceProcessLocked(c)
 	} else if c.Sequence <= u.sequence {
 		// A check-in that arrived out of order or twice.
 		return false, nil
 	}
+	u.successor = successor{}
 	u.sequence, u.slots, u.restartSuspected = c.Sequence, c.Slots, false
 	u.silentSince = time.Time{}
 	u.draining = u.draining || c.Draining
