Give a cold upstream no new flow in the first 1.2 s of its agent

Cause: what a cold server has got is counted in the memory of its agent, and the next process of the agent gave the whole allowance again.

Fix: the next process waits for the window of the count, 1.2 s from its start, so that whatever an earlier one admitted is older.

Test, which failed before: TestColdRateAfterRestart (more than 5 new flows within a second).

--- a/internal/admit/admitter/admitter_test.go
+++ b/internal/admit/admitter/admitter_test.go
@@ -230,6 +230,33 @@
 	})
 }
 
+// TestColdRateAfterRestart guards against a cold upstream that gets its allowance twice within a second, because its agent has restarted
+// in between and has forgotten what it admitted.
+func TestColdRateAfterRestart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cold := checkIn("i-1", 1)
+		cold.ColdRemaining = 10_000
+		var admittedAt []time.Time
+		now := start
+		for range 6 {
+			a := &Admitter{Service: "desk", Address: upstreamAddress, ColdFactor: 1.5, ColdSlack: 5, MaxFlowAge: time.Minute, StartedAt: now}
+			require.NoError(t, a.CheckIn(now, cold))
+			end := now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms until the kill")) * time.Millisecond)
+			for port := 1; now.Before(end); port++ {
+				if a.offer(now, port).Disposition == Deliver {
+					admittedAt = append(admittedAt, now)
+				}
+				now = now.Add(20 * time.Millisecond)
+			}
+		}
+		for i, first := range admittedAt {
+			if i+5 < len(admittedAt) {
+				require.Greater(t, admittedAt[i+5].Sub(first), time.Second, "more than 5 new flows within a second")
+			}
+		}
+	})
+}
+
 // TestHugeColdRate guards against a cold rate too large for an int that leaves a cold upstream without any flow.
 func TestHugeColdRate(t *testing.T) {
 	for _, rate := range []float64{1e300, math.MaxInt64} {
--- a/internal/admit/admitter/upstream.go
+++ b/internal/admit/admitter/upstream.go
@@ -131,8 +131,12 @@
 }
 
 // allowanceLocked returns how many new flows a cold upstream may get now. It stays one below the bound, because a retransmitted
-// opening packet counts against the bound as well.
+// opening packet counts against the bound as well. In the first coldWindow of the agent it is 0: an earlier process of the agent may
+// just have used it up.
 func (u *upstream) allowanceLocked(now time.Time, a *Admitter) int {
+	if now.Before(a.StartedAt.Add(coldWindow)) {
+		return 0
+	}
 	// The conversion of a float that an int does not hold depends on the processor.
 	perSecond := min(max(math.Floor(u.coldRate*a.ColdFactor), 0), math.MaxUint16)
 	return max(int(perSecond)+int(a.ColdSlack)-1-len(u.admittedAt), 0)
