--- a/internal/store/journaler/journal.go
+++ b/internal/store/journaler/journal.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"slices"
@@ -19,6 +21,8 @@
 const (
 	segmentPrefix = "journal-"
 	segmentSuffix = ".log"
+	// nextSegmentName is the name of a segment that is being created. Open removes it.
+	nextSegmentName = "next-segment.tmp"
 	// segmentHeaderSize is the size in bytes of the magic and the number of a segment, 8 bytes each.
 	segmentHeaderSize = 16
 	fileMode          = 0o600
@@ -36,6 +40,8 @@
 	path string
 	// mark is the highest mark of the records in the segment.
 	mark Mark
+	// size is the size in bytes of the valid part of the segment when it was replayed.
+	size int64
 }
 
 // Syncer makes written files durable.
@@ -93,12 +99,34 @@
 			return err
 		}
 	}
-	if len(ids) == 0 {
-		return j.createSegment(1)
+	if err := j.removeIncomplete(); err != nil {
+		return err
+	}
+	if len(j.segments) == 0 {
+		return j.createSegment(1, nil)
 	}
 	return j.openLastSegment()
 }
 
+// removeIncomplete removes what a crash has left of a segment that was being created. Versions before this one created segments in place,
+// so the last one may lack its initial records. Nothing was written to it later, or Roll would have returned.
+func (j *Journal) removeIncomplete() error {
+	if err := os.Remove(filepath.Join(j.Folder, nextSegmentName)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return eris.Wrap(err, "remove incomplete segment")
+	}
+	n := len(j.segments)
+	if n == 0 || j.size > segmentHeaderSize || n == 1 && j.size > 0 {
+		return nil
+	}
+	if err := os.Remove(j.segments[n-1].path); err != nil {
+		return eris.Wrap(err, "remove incomplete segment")
+	}
+	if j.segments = j.segments[:n-1]; n > 1 {
+		j.size = j.segments[n-2].size
+	}
+	return syncFolder(j.Folder, j.Syncer)
+}
+
 // segmentIDs returns the numbers of the segments in the folder in ascending order.
 func (j *Journal) segmentIDs() ([]segmentID, error) {
 	files, err := os.ReadDir(j.Folder)
@@ -143,7 +171,7 @@
 		if !last || len(b) >= offset {
 			return eris.Wrapf(ErrCorrupt, "header of %s", s.path)
 		}
-		// A crash interrupted the creation of the segment.
+		// A crash interrupted the creation of the segment; removeIncomplete removes it.
 		j.segments, j.size = append(j.segments, s), 0
 		return nil
 	}
@@ -164,17 +192,14 @@
 		}
 		offset += n
 	}
-	j.segments, j.size = append(j.segments, s), int64(offset)
+	s.size = int64(offset)
+	j.segments, j.size = append(j.segments, s), s.size
 	return nil
 }
 
 // openLastSegment opens the last segment for appending and truncates a torn write at its end.
 func (j *Journal) openLastSegment() error {
 	s := j.segments[len(j.segments)-1]
-	if j.size == 0 {
-		j.segments = j.segments[:len(j.segments)-1]
-		return j.createSegment(s.id)
-	}
 	f, err := os.OpenFile(s.path, os.O_RDWR, fileMode)
 	if err != nil {
 		return eris.Wrap(err, "open segment")
@@ -186,32 +211,43 @@
 	return eris.Wrap(j.Syncer.Sync(f), "sync segment")
 }
 
-// createSegment creates a segment and makes it the one that is written to. The segment and its folder entry are durable when
-// createSegment returns.
-func (j *Journal) createSegment(id segmentID) error {
-	s := segment{id: id, path: j.segmentPath(id)}
-	f, err := os.OpenFile(s.path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+// createSegment creates a segment with its initial records and makes it the one that is written to. A crash leaves the whole segment or
+// none: with a segment that lacks its initial records, Release would remove the only other copy of them.
+func (j *Journal) createSegment(id segmentID, initial []Record) error {
+	content := encodeSegmentHeader(id)
+	if len(initial) > 0 {
+		content = append(content, encodeFrame(id, segmentHeaderSize, initial)...)
+	}
+	tempPath := filepath.Join(j.Folder, nextSegmentName)
+	f, err := os.OpenFile(tempPath, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
 		return eris.Wrap(err, "create segment")
 	}
-	if err := j.writeHeader(f, id); err != nil {
+	s := segment{id: id, path: j.segmentPath(id)}
+	if err := j.publish(f, content, s.path); err != nil {
 		_ = f.Close()
 		return err
 	}
 	if j.file != nil {
 		_ = j.file.Close()
 	}
-	j.file, j.size = f, segmentHeaderSize
+	j.file, j.size = f, int64(len(content))
 	j.segments = append(j.segments, s)
-	return syncFolder(j.Folder, j.Syncer)
+	return nil
 }
 
-// writeHeader writes the header of a new segment and makes it durable.
-func (j *Journal) writeHeader(f *os.File, id segmentID) error {
-	if _, err := f.Write(encodeSegmentHeader(id)); err != nil {
-		return eris.Wrap(err, "write segment header")
+// publish writes the content of a new file, makes it durable and renames the file.
+func (j *Journal) publish(f *os.File, content []byte, path string) error {
+	if _, err := f.Write(content); err != nil {
+		return eris.Wrap(err, "write segment")
 	}
-	return eris.Wrap(j.Syncer.Sync(f), "sync segment")
+	if err := j.Syncer.Sync(f); err != nil {
+		return eris.Wrap(err, "sync segment")
+	}
+	if err := os.Rename(f.Name(), path); err != nil {
+		return eris.Wrap(err, "rename segment")
+	}
+	return syncFolder(j.Folder, j.Syncer)
 }
 
 // Append adds records to the journal. They are durable when Append returns. mark is the highest mark among them.
@@ -276,11 +312,8 @@
 		j.writeErr = eris.Wrap(err, "sync records")
 		return j.writeErr
 	}
-	if err := j.createSegment(j.segments[len(j.segments)-1].id + 1); err != nil {
-		j.writeErr = err
-		return err
-	}
-	return j.appendLocked(0, initial)
+	j.writeErr = j.createSegment(j.segments[len(j.segments)-1].id+1, initial)
+	return j.writeErr
 }
 
 // Release removes the oldest segments, as long as no record of theirs has a mark above upTo. It keeps the last segment.
