Keep no whole configuration for each change of the release

Cause: the change of the release in an update was a pointer into the operator's whole configuration. The publisher keeps the newest 2,048 updates, so 2,048 whole configurations stayed in memory, and came back when a restart applied the log.

Evidence: with 1,100 routes and one changed, a change took 288,327 bytes of live heap; the log entry is 23,484 of them.

Fix: the release is copied.

--- a/internal/control/planner/replace.go
+++ b/internal/control/planner/replace.go
@@ -107,7 +107,9 @@
 	}
 	changes = append(changes, l.routeChanges(r.Routes)...)
 	changes = append(changes, l.serviceDeletions(namedServices)...)
-	return append(changes, registrar.Change{Kind: registrar.PutRelease, Release: &r.Release})
+	// The publisher keeps the changes; a pointer into r would keep all of its routes.
+	release := r.Release
+	return append(changes, registrar.Change{Kind: registrar.PutRelease, Release: &release})
 }
 
 // routeChanges returns the changes that turn the configured routes into the given ones.
