Bound the log of control by bytes

At 1,100 routes an entry with a whole configuration has 23,484 bytes, which makes some 70 MB in memory, and on disks of 64 MB.

Cause: the bounds counted entries only.

--- a/internal/control/driver/applier.go
+++ b/internal/control/driver/applier.go
@@ -34,6 +34,8 @@
 	// The fields below are used only by the applier's goroutine. savedIndex is the index of the newest saved snapshot.
 	appliedIndex replicator.Index
 	savedIndex   replicator.Index
+	// logBytes is the size of the commands applied since savedIndex.
+	logBytes int
 	// attemptIndex is the index of the last attempt to save a snapshot.
 	attemptIndex replicator.Index
 	lastPosition replicator.Position
@@ -81,7 +83,7 @@
 		if err := a.driver.StateMachine.Restore(s.State); err != nil {
 			return eris.Wrap(err, "restore snapshot")
 		}
-		a.appliedIndex, a.savedIndex, a.members = s.Index, s.Index, s.Members
+		a.appliedIndex, a.savedIndex, a.logBytes, a.members = s.Index, s.Index, 0, s.Members
 		for _, outcome := range a.pending.Skip(s.Index) {
 			a.driver.proposals.complete(outcome)
 		}
@@ -92,8 +94,7 @@
 			continue
 		}
 		a.applyEntry(e)
-		if a.appliedIndex-a.savedIndex >= a.driver.SnapshotEntries &&
-			(a.attemptIndex <= a.savedIndex || a.appliedIndex-a.attemptIndex >= snapshotRetryEntries) {
+		if a.snapshotDue() {
 			a.attemptIndex = a.appliedIndex
 			if err := a.saveSnapshot(ctx); err != nil {
 				// The log keeps its entries until a later attempt succeeds.
@@ -104,6 +105,12 @@
 	return nil
 }
 
+// snapshotDue reports whether the log has grown enough for a snapshot, and no attempt has just failed.
+func (a *applier) snapshotDue() bool {
+	hasGrown := a.appliedIndex-a.savedIndex >= a.driver.SnapshotEntries || a.logBytes >= maxLogBytes
+	return hasGrown && (a.attemptIndex <= a.savedIndex || a.appliedIndex-a.attemptIndex >= snapshotRetryEntries)
+}
+
 func (a *applier) applyEntry(e replicator.Entry) {
 	var result []byte
 	if e.Members != nil {
@@ -114,6 +121,7 @@
 		result = a.driver.StateMachine.Apply(uint64(e.Index), e.Command)
 	}
 	a.appliedIndex, a.lastPosition = e.Index, e.Position
+	a.logBytes += len(e.Command)
 	a.driver.replica.Applied(time.Now(), e.Index)
 	if outcome, ok := a.pending.Apply(e.Position, result); ok {
 		a.driver.proposals.complete(outcome)
@@ -131,7 +139,7 @@
 	if err := a.driver.store.saveSnapshot(s); err != nil {
 		return err
 	}
-	a.savedIndex = s.Index
+	a.savedIndex, a.logBytes = s.Index, 0
 	a.driver.Recorder.Info(recorder.SnapshotTaken, zap.Uint64("index", uint64(s.Index)), zap.Int("bytes", len(state)),
 		zap.Duration("duration", time.Since(start)))
 	select {
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -28,6 +28,9 @@
 	maxEventsPerWrite = 256
 	// defaultSnapshotEntries is the default of Driver.SnapshotEntries. It bounds the entries that a restart has to apply.
 	defaultSnapshotEntries = 2048
+	// maxLogBytes is the size of the commands after a snapshot that causes the next one. It bounds the memory and the disk of the log, whose
+	// commands may hold whole configurations.
+	maxLogBytes = 8 << 20
 )
 
 // StateMachine applies log entries in order. Apply and Restore are called by one goroutine at a time.
@@ -219,8 +222,9 @@
 
 func (d *Driver) step(ev replicator.Event) error {
 	d.replica.Step(time.Now(), ev)
-	if s, ok := ev.(replicator.Snapshotted); ok && s.Snapshot.Index > replicator.DefaultKeep {
-		return wrapDiskError(d.store.release(s.Snapshot.Index - replicator.DefaultKeep))
+	if s, ok := ev.(replicator.Snapshotted); ok {
+		// The log may already start after a received snapshot that is not stored yet.
+		return wrapDiskError(d.store.release(min(d.replica.CompactedTo(), s.Snapshot.Index)))
 	}
 	return nil
 }
--- a/internal/control/replicator/log.go
+++ b/internal/control/replicator/log.go
@@ -117,6 +117,27 @@
 	return l.entries[first:end:end]
 }
 
+// CompactBefore removes the entries before a snapshot at an index, except the newest of them: up to keep entries whose commands have up
+// to keepBytes bytes.
+func (l *Log) CompactBefore(snapshot, keep Index, keepBytes int) {
+	l.mu.RLock()
+	to := min(snapshot, l.lastLocked().Index)
+	for size := 0; to > l.base.Index && snapshot-to < keep; to-- {
+		if size += len(l.entries[to-l.base.Index-1].Command); size > keepBytes {
+			break
+		}
+	}
+	l.mu.RUnlock()
+	l.Compact(to)
+}
+
+// CompactedTo returns the index of the newest entry that has been compacted.
+func (l *Log) CompactedTo() Index {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.base.Index
+}
+
 // Compact removes the entries up to an index.
 func (l *Log) Compact(to Index) {
 	l.mu.Lock()
--- a/internal/control/replicator/replica.go
+++ b/internal/control/replicator/replica.go
@@ -26,6 +26,8 @@
 	maxUncommitted = 16384
 	// DefaultKeep is the value of Replica.Keep outside tests.
 	DefaultKeep Index = 1024
+	// keepBytes bounds the commands of the entries that Replica.Keep keeps, because some commands hold a whole configuration.
+	keepBytes = 4 << 20
 	// MaxAge is the largest age of the applied state at which a follower grants leases. A node that is refused a lease asks
 	// another instance and still receives the newest revision within 3 s.
 	MaxAge = 1 * time.Second
@@ -146,12 +148,13 @@
 		r.propose(now, ev)
 	case Snapshotted:
 		r.snapshot = ev.Snapshot
-		if ev.Snapshot.Index > r.Keep {
-			r.log.Compact(ev.Snapshot.Index - r.Keep)
-		}
+		r.log.CompactBefore(ev.Snapshot.Index, r.Keep, keepBytes)
 	}
 }
 
+// CompactedTo returns the index of the newest entry that is in no log but covered by a snapshot.
+func (r *Replica) CompactedTo() Index { return r.log.CompactedTo() }
+
 // Take returns the effects of all steps since the last call, including appends of new entries to peers.
 func (r *Replica) Take(now time.Time) Effects {
 	r.flush(now)
