Send no copy of an opening packet to a service that its route has left

Seen in the code by the review: a copy of an opening packet followed the entry's record of the first one without a look at the route. If the first copy is lost, the flow could open at the old service after a new configuration was in force (CONFIG).

Fix: a copy goes to the upstream of the first one only while the route allows its service.

Test, which failed before: TestRetransmittedOpeningAfterRouteMoved (a copy at desk instead of catalogue).

--- a/internal/control/replicator/replica.go
+++ b/internal/control/replicator/replica.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// CompactedTo returns the index of the newest entry that is in no log but covered by a snapshot.
+// CompactedTo returns the index of the newest entry that the log no longer holds because a snapshot covers it.
 func (r *Replica) CompactedTo() Index { return r.log.CompactedTo() }
 
 // Take returns the effects of all steps since the last call, including appends of new entries to peers.
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -171,13 +171,13 @@
 }
 
 // openFlow handles an opening packet. A retransmission goes to the upstream of the first transmission if that upstream still
-// accepts flows.
+// accepts flows, and the route has not been moved to another service since.
 func (s *Steerer) openFlow(p callerPacket) Decision {
 	rec := p.record()
 	if rec == nil || p.seg.Attempt() == 0 {
 		return s.place(p, nil)
 	}
-	if rec.member.accepting(p.now) {
+	if rec.member.accepting(p.now) && p.route.Allows(rec.member.service) {
 		rec.tried = nil
 		return s.pass(p, rec)
 	}
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -284,6 +284,24 @@
 	require.Equal(t, agentAddress(3), s.FromCaller(later, packet(1, carrier.Open, 2)).To)
 }
 
+// TestRetransmittedOpeningAfterRouteMoved guards against a copy of an opening packet that opens the flow at the service that the route
+// has left since the first one.
+func TestRetransmittedOpeningAfterRouteMoved(t *testing.T) {
+	s := newTestEntry(t, 2, 2)
+	reportAll := func(now time.Time) {
+		for n := 1; n <= 2; n++ {
+			s.report(now, n, 0)
+			s.Report(now, agentAddress(2+n), carrier.LoadReport{Service: carrier.TagOf("catalogue"), Accepting: true, Slots: 2})
+		}
+	}
+	reportAll(start)
+	require.Equal(t, carrier.TagOf("desk"), s.FromCaller(start, packet(1, carrier.Open, 0)).Header.Service)
+	s.moveRoute("catalogue")
+	later := start.Add(600 * time.Millisecond)
+	reportAll(later)
+	require.Equal(t, carrier.TagOf("catalogue"), s.FromCaller(later, packet(1, carrier.Open, 2)).Header.Service)
+}
+
 // TestReturnedOpening guards against a new flow that is dropped, or sent to the same upstream again, after the first upstream
 // returned it.
 func TestReturnedOpening(t *testing.T) {
--- a/internal/route/steerer/view.go
+++ b/internal/route/steerer/view.go
@@ -13,6 +13,7 @@
 // member is an upstream in the pool of its service. It is immutable except for its load.
 type member struct {
 	name    registrar.UpstreamName
+	service registrar.ServiceName
 	id      registrar.UpstreamID
 	tag     carrier.ServiceTag
 	zone    registrar.ZoneName
@@ -208,7 +209,7 @@
 			continue
 		}
 		m := &member{
-			name: u.Name, id: u.ID, tag: carrier.TagOf(service), zone: u.Zone, address: u.DataAddress,
+			name: u.Name, service: service, id: u.ID, tag: carrier.TagOf(service), zone: u.Zone, address: u.DataAddress,
 			takesNewFlows: !u.Retired && !u.Draining && !u.Silent && !u.ZoneWithdrawn, silent: u.Silent, load: &load{},
 		}
 		if previous := old.memberAt(m.address); previous != nil && previous.id == m.id {
