Take fractional bounds of cold upstreams and any age of flows from the platform

The pages of the platform allow fractions.

Fix: cold_slack is a number from 0 to 1000000, max_flow_age a duration from 1ms to 24h. The allowance of a cold upstream is the whole part of rate times factor plus slack.

--- a/internal/admit/admitter/admitter.go
+++ b/internal/admit/admitter/admitter.go
@@ -124,7 +124,7 @@
 	Address netip.AddrPort
 	// ColdFactor and ColdSlack bound the new flows that a cold upstream gets per second: cold rate times factor plus slack.
 	ColdFactor float64
-	ColdSlack  uint32
+	ColdSlack  float64
 	// MaxFlowAge is the longest lifetime of a flow. An agent that has run for a shorter time may not know all flows.
 	MaxFlowAge time.Duration
 	StartedAt  time.Time
--- a/internal/admit/admitter/upstream.go
+++ b/internal/admit/admitter/upstream.go
@@ -138,8 +138,8 @@
 		return 0
 	}
 	// The conversion of a float that an int does not hold depends on the processor.
-	perSecond := min(max(math.Floor(u.coldRate*a.ColdFactor), 0), math.MaxUint16)
-	return max(int(perSecond)+int(a.ColdSlack)-1-len(u.admittedAt), 0)
+	perSecond := min(max(math.Floor(u.coldRate*a.ColdFactor+a.ColdSlack), 0), math.MaxUint16)
+	return max(int(perSecond)-1-len(u.admittedAt), 0)
 }
 
 // trimAdmittedLocked removes the admissions that are older than coldWindow.
--- a/internal/setting/parser/rule.go
+++ b/internal/setting/parser/rule.go
@@ -25,6 +25,8 @@
 	maxSlots  = 10_000
 	maxLinger = 5 * time.Minute
 	maxDrain  = time.Hour
+	// maxFlowAge only catches typing errors.
+	maxFlowAge = 24 * time.Hour
 	// minFlowQuiet is the interval at which an agent checks its flows during a planned stop.
 	minFlowQuiet = 100 * time.Millisecond
 	maxFlowQuiet = 5 * time.Minute
@@ -68,9 +70,10 @@
 	"bool":       {"true or false", func(v any) bool { _, ok := v.(bool); return ok }},
 	"factor":     {"0 to 1000", func(v any) bool { f, ok := v.(float64); return ok && f >= 0 && f <= maxColdFactor }},
 	"link":       {"0 to 1000000", func(v any) bool { f, ok := v.(float64); return ok && f >= 0 && f <= maxLinkMbps }},
-	"count":      {"0 to 1000000", func(v any) bool { n, ok := v.(uint32); return ok && n <= maxColdSlack }},
+	"slack":      {"0 to 1000000", func(v any) bool { f, ok := v.(float64); return ok && f >= 0 && f <= maxColdSlack }},
 	"flow_quiet": {"a duration from 100ms to 5m", durationBetween(minFlowQuiet, maxFlowQuiet)},
 	"drain":      {"a duration from 1s to 1h", durationBetween(time.Second, maxDrain)},
+	"flow_age":   {"a duration from 1ms to 24h", durationBetween(time.Millisecond, maxFlowAge)},
 }
 
 // formatBounds lists the latency bounds that an objective can use.
--- a/internal/setting/parser/stream.go
+++ b/internal/setting/parser/stream.go
@@ -69,8 +69,8 @@
 	OutboundAddress netip.AddrPort        `json:"outbound_address" rule:"address" doc:"where the upstream sends its packets (UDP)"`
 	CheckInAddress  netip.AddrPort        `json:"check_in_address" rule:"address" doc:"where the upstream reports its state over HTTP, in the form of the platform"`
 	ColdFactor      float64               `json:"cold_factor" rule:"factor" default:"1" doc:"how many times its cold rate a cold upstream may get in a second"`
-	ColdSlack       uint32                `json:"cold_slack" rule:"count" default:"0" doc:"new requests that a cold upstream may get in a second besides"`
-	MaxFlowAge      Duration              `json:"max_flow_age" rule:"drain" default:"60s" doc:"age at which a flow may be forgotten"`
+	ColdSlack       float64               `json:"cold_slack" rule:"slack" default:"0" doc:"new requests that a cold upstream may get in a second besides"`
+	MaxFlowAge      Duration              `json:"max_flow_age" rule:"flow_age" default:"60s" doc:"age at which a flow may be forgotten"`
 }
 
 func (c *OpenControl) crossCheck() []mismatch {
