--- a/internal/control/planner/memory_test.go
+++ b/internal/control/planner/memory_test.go
@@ -49,29 +49,42 @@
 }
 
 // TestManyChangesOfLargeConfiguration guards against a control instance that runs out of memory because it keeps the whole
-// configuration for each of its versions.
+// configuration for each of its versions, also if each version changes every route.
 func TestManyChangesOfLargeConfiguration(t *testing.T) {
 	const (
 		routes  = 1100
-		changes = 100
+		changes = 150
 		// The users ask that 1,000 changes on 1,100 routes stay under half of the 284 MB of a machine.
 		maxBytesPerChange = 284_000_000 / 2 / 1000
 	)
-	l := NewLedger(&publisher.Publisher{})
-	require.Nil(t, applyReplacement(t, l, largeReplacement(1, routes)).Failure)
-	var entries [][]byte
-	before := heapInUse()
-	for version := registrar.ReleaseVersion(2); version < 2+changes; version++ {
-		entry, err := EncodeCommand(Command{Kind: CommandReplace, Replacement: largeReplacement(version, routes)})
-		require.NoError(t, err)
-		// The log keeps the entry in memory.
-		entries = append(entries, entry)
-		l.Apply(0, entry)
+	for name, change := range map[string]func(r *Replacement){
+		"one route": func(*Replacement) {},
+		"every route": func(r *Replacement) {
+			for i := range r.Routes {
+				r.Routes[i].Timeout = 500 + registrar.Millis(r.Version)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger(&publisher.Publisher{})
+			require.Nil(t, applyReplacement(t, l, largeReplacement(1, routes)).Failure)
+			var entries [][]byte
+			before := heapInUse()
+			for version := registrar.ReleaseVersion(2); version < 2+changes; version++ {
+				r := largeReplacement(version, routes)
+				change(r)
+				entry, err := EncodeCommand(Command{Kind: CommandReplace, Replacement: r})
+				require.NoError(t, err)
+				// The log keeps the entry in memory.
+				entries = append(entries, entry)
+				l.Apply(0, entry)
+			}
+			require.Equal(t, registrar.ReleaseVersion(1+changes), l.World.Release().Version)
+			perChange := (heapInUse() - before) / changes
+			t.Logf("%d bytes a change, of which %d in the log", perChange, len(entries[0]))
+			require.LessOrEqual(t, perChange, int64(maxBytesPerChange))
+			runtime.KeepAlive(entries)
+			runtime.KeepAlive(l)
+		})
 	}
-	require.Equal(t, registrar.ReleaseVersion(1+changes), l.World.Release().Version)
-	perChange := (heapInUse() - before) / changes
-	t.Logf("%d bytes a change, of which %d in the log", perChange, len(entries[0]))
-	require.LessOrEqual(t, perChange, int64(maxBytesPerChange))
-	runtime.KeepAlive(entries)
-	runtime.KeepAlive(l)
 }
--- a/internal/control/publisher/publisher_test.go
+++ b/internal/control/publisher/publisher_test.go
@@ -52,3 +52,27 @@
 		}
 	})
 }
+
+// TestLargeUpdates guards against a history that is bounded in updates only, and against one that no longer holds the newest update
+// because that one alone exceeds the bound.
+func TestLargeUpdates(t *testing.T) {
+	var p Publisher
+	const perUpdate = 1100
+	for r := registrar.Revision(1); r <= 100; r++ {
+		p.Add(registrar.Update{Revision: r, Changes: make([]registrar.Change, perUpdate)})
+	}
+	const kept = maxHistoryChanges / perUpdate
+	_, ok := p.Since(100-kept, 100)
+	require.True(t, ok)
+	_, ok = p.Since(100-kept-1, 100)
+	require.False(t, ok)
+	p.Add(registrar.Update{Revision: 101, Changes: make([]registrar.Change, maxHistoryChanges+1)})
+	newest, ok := p.Since(100, 101)
+	require.True(t, ok)
+	require.Len(t, newest, 1)
+	p.Add(registrar.Update{Revision: 102})
+	_, ok = p.Since(101, 102)
+	require.True(t, ok)
+	_, ok = p.Since(100, 102)
+	require.False(t, ok)
+}
